Lay out the workspace, its shared types and the design page

Cause: the repository was empty; modules that are written side by side need their interfaces and the state's owners settled first.

Change: a flat workspace with the types that cross crates (names, time, error kinds, configuration resources, table and object store traits, in-memory platform) and docs/design.md.

Ruled out: one crate for all decisions, since the model checker and the measurements need each decision core alone.

--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fair admission of calls at the daemon beside a backend server.
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measurements of the system.
--- /dev/null
+++ b/crates/claims/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once claims of keyed requests.
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,15 @@
+//! Typed configuration resources, validation, versions, deltas and merging.
+
+mod catalog;
+mod change;
+mod resource;
+mod validate;
+mod version;
+
+pub use catalog::Catalog;
+pub use change::{ApplyError, Change, Delta, WriteId};
+pub use resource::{Class, Kind, LatencyTarget, Resource, ResourceKey, Route, Service};
+pub use validate::{
+    MAX_CHANGE_BYTES, MAX_CLASSES, MAX_ROUTES, MAX_SERVICES, Problem, Rejection, validate,
+};
+pub use version::Version;
--- /dev/null
+++ b/crates/distribution/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions that spread accepted configuration versions to every daemon.
--- /dev/null
+++ b/crates/kernel/src/lib.rs
@@ -0,0 +1,13 @@
+//! Named services, clocks, identifiers and the closed list of error kinds.
+
+mod clock;
+mod error;
+mod name;
+mod registry;
+
+pub use clock::{Clock, ManualClock, SystemClock, Time};
+pub use error::{Answer, ErrorKind, Failure, Run};
+pub use name::{
+    BadName, ClassName, DataCentre, EndpointId, GroupName, MAX_NAME_BYTES, RouteName, ServiceName,
+};
+pub use registry::{Registry, ServiceTaken};
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions about which endpoints exist and what state they are in.
--- /dev/null
+++ b/crates/moves/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions that move traffic between versions of a service.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,14 @@
+//! Clients of the platform's transactional table and object store.
+
+mod memory;
+mod object;
+mod table;
+
+pub use memory::{Faults, MemoryPlatform};
+pub use object::{ObjectError, ObjectStore, digest, open_object, seal_object};
+pub use table::{CommitError, Condition, ReadError, Row, Table, Transaction, Write};
+
+/// The platform as a whole.
+pub trait Platform: Table + ObjectStore {}
+
+impl<T: Table + ObjectStore> Platform for T {}
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of backend server, ejection and retries.
--- /dev/null
+++ b/crates/rpc/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages and transport between daemons.
--- /dev/null
+++ b/crates/shallottack/src/main.rs
@@ -0,0 +1,2 @@
+//! Operators client.
+fn main() {}
--- /dev/null
+++ b/crates/shallottackd/src/lib.rs
@@ -0,0 +1,1 @@
+//! Daemon that sits beside a backend server.
--- /dev/null
+++ b/crates/shallottackd/src/main.rs
@@ -0,0 +1,2 @@
+//! Daemon that sits beside a backend server.
+fn main() {}
