Add the interface and first form of the distribution core

Cause: the daemon, the transport and the measurements build on the inputs, actions and messages of distribution, so these come first.

Change: Distribution with Input, Action, Message and Settings, and the decisions behind them: source lease, tree push, pull repair, delta log,

deltas travel as JSON bytes behind Arc, so that a relay passes on what it received. Settings::mode selects tree, epidemic exchange or polling.

Ruled out: catalogs as typed values in messages.

Conclusion: the interface can be built against; behaviour is unproven until the suite lands.

--- /dev/null
+++ b/crates/distribution/src/peers.rs
@@ -0,0 +1,299 @@
+//! What the core does with the members and their messages.
+
+use shallottack_config::Version;
+use shallottack_kernel::EndpointId;
+
+use crate::{
+    Action, Distribution, EncodedDelta, Mark, Message, Mode, Peer, SourceMark,
+    distribution::Context,
+    settings::{backoff, jitter, spread},
+    store::Taken,
+};
+
+/// Endpoints whose last version is remembered even when they are no longer members, so that a
+/// restarted daemon finds its version floor; above the fleet's 3,700.
+const MAX_SEEN: usize = 8_192;
+
+impl Distribution {
+    pub(crate) fn set_peers(&mut self, peers: Vec<Peer>) {
+        self.view.set(peers, self.settings.candidates);
+        let view = &self.view;
+        self.reports.children.retain(|it, _| view.local.binary_search(it).is_ok());
+        if self.seen.len() > MAX_SEEN {
+            self.seen.retain(|it, _| {
+                view.local.binary_search(it).is_ok() || view.remote.binary_search(it).is_ok()
+            });
+        }
+    }
+
+    pub(crate) fn message(&mut self, ctx: &mut Context<'_>, from: EndpointId, message: Message) {
+        match message {
+            Message::Push { mark, deltas } => {
+                self.note(ctx, &from, &mark);
+                self.take_deltas(ctx, Some(&from), &deltas);
+                self.pull.note(ctx.now, &from, mark.version);
+            }
+            Message::Probe { mark } => {
+                self.note(ctx, &from, &mark);
+                self.probed(ctx, &from, mark.version);
+            }
+            Message::Pull { mark } => {
+                self.note(ctx, &from, &mark);
+                self.pulled(ctx, &from, mark.version);
+            }
+            Message::Deltas { mark, deltas } => {
+                self.note(ctx, &from, &mark);
+                self.pull.finish(&from);
+                // An answer that does not help must not be asked for again at once.
+                if self.take_deltas(ctx, Some(&from), &deltas) {
+                    self.pull.note(ctx.now, &from, mark.version);
+                } else {
+                    self.pull.forget(&from);
+                }
+            }
+            Message::Snapshot { mark, body } => {
+                self.note(ctx, &from, &mark);
+                self.pull.finish(&from);
+                if self.take_snapshot(ctx, &body) != Taken::New {
+                    self.pull.forget(&from);
+                }
+            }
+            Message::Busy { retry_after } => self.busy(ctx, &from, retry_after),
+            Message::FloorQuery { nonce } => {
+                let yours = self.seen.get(&from).copied();
+                let mark = self.mark();
+                ctx.send(from, Message::FloorAnswer { nonce, mark, yours });
+                return;
+            }
+            Message::FloorAnswer { nonce, mark, yours } => {
+                self.note(ctx, &from, &mark);
+                self.floor_answered(ctx, &from, nonce, &mark, yours);
+            }
+            Message::Report(report) => {
+                if self.view.local.binary_search(&from).is_ok() {
+                    self.reports.children.insert(from, report);
+                }
+                return;
+            }
+        }
+        self.pull_ahead(ctx);
+    }
+
+    /// Remembers what a peer says of itself and of its source.
+    fn note(&mut self, ctx: &mut Context<'_>, from: &EndpointId, mark: &Mark) {
+        if mark.in_force {
+            let seen = self.seen.entry(from.clone()).or_default();
+            *seen = mark.version.max(*seen);
+        }
+        let Some(source) = &mark.source else { return };
+        self.learn_source(source);
+        // Only the source's own messages show that it is alive: relays also pass on deltas that
+        // came through other data centres.
+        let current = self.source.as_ref() == Some(source) && source.holder == *from;
+        if current && self.lease.held.is_none() {
+            self.lease.heard(ctx.now, ctx.rng, &self.settings);
+        }
+    }
+
+    /// Takes over a source with a higher fencing epoch, and stops being the source if it was.
+    pub(crate) fn learn_source(&mut self, source: &SourceMark) {
+        if source.data_centre != self.me.data_centre
+            || self.source.as_ref().is_some_and(|known| source.epoch <= known.epoch)
+        {
+            return;
+        }
+        if self.lease.held.is_some_and(|held| held.epoch < source.epoch) {
+            self.lease.step_down();
+        }
+        self.source = Some(source.clone());
+    }
+
+    fn probed(&mut self, ctx: &mut Context<'_>, from: &EndpointId, theirs: Version) {
+        if theirs > self.held() {
+            self.pull.note(ctx.now, from, theirs);
+        } else if theirs < self.held() {
+            let deltas = self.store.deltas_after(theirs, self.settings.message_bytes);
+            let mark = self.mark();
+            // A snapshot is only offered, so that the peer fetches it from one place.
+            let message = match deltas {
+                Some(deltas) => Message::Deltas { mark, deltas },
+                None => Message::Probe { mark },
+            };
+            ctx.send(from.clone(), message);
+        }
+    }
+
+    fn pulled(&mut self, ctx: &mut Context<'_>, from: &EndpointId, have: Version) {
+        let mark = self.mark();
+        let message = match self.store.deltas_after(have, self.settings.message_bytes) {
+            Some(deltas) => Message::Deltas { mark, deltas },
+            None => match self.transfers.admit(ctx.now, ctx.rng, &self.settings) {
+                Ok(()) => {
+                    self.counters.transfers += 1;
+                    Message::Snapshot { mark, body: self.store.snapshot() }
+                }
+                Err(retry_after) => {
+                    self.counters.deferred += 1;
+                    Message::Busy { retry_after }
+                }
+            },
+        };
+        ctx.send(from.clone(), message);
+    }
+
+    fn busy(&mut self, ctx: &mut Context<'_>, from: &EndpointId, after: std::time::Duration) {
+        self.pull.finish(from);
+        self.pull.forget(from);
+        let until = ctx.now + after.min(self.settings.retry_cap);
+        self.pull.busy = Some((from.clone(), until));
+        self.pull.retry_at = until;
+    }
+
+    fn floor_answered(
+        &mut self,
+        ctx: &mut Context<'_>,
+        from: &EndpointId,
+        nonce: u64,
+        mark: &Mark,
+        yours: Option<Version>,
+    ) {
+        if nonce != self.nonce {
+            return;
+        }
+        if self.floor.known.is_none() {
+            self.floor.answered(from.clone(), mark, yours);
+            self.settle(ctx);
+        }
+        self.pull.note(ctx.now, from, mark.version);
+    }
+
+    /// Pulls from a peer that is ahead, unless a pull is under way.
+    fn pull_ahead(&mut self, ctx: &mut Context<'_>) {
+        let held = self.held();
+        if let Some(to) = self.pull.next(ctx.now, held) {
+            self.start_pull(ctx, to);
+        }
+    }
+
+    fn start_pull(&mut self, ctx: &mut Context<'_>, to: EndpointId) {
+        self.pull.pending = Some((to.clone(), ctx.now + self.settings.pull_timeout));
+        let mark = self.mark();
+        ctx.send(to, Message::Pull { mark });
+    }
+
+    /// Sends new deltas to the children, or to random peers in [`Mode::Epidemic`].
+    pub(crate) fn push(
+        &mut self,
+        ctx: &mut Context<'_>,
+        from: Option<&EndpointId>,
+        mut deltas: Vec<EncodedDelta>,
+    ) {
+        let mut bytes = 0;
+        let fits = deltas.iter().take_while(|it| {
+            bytes += it.body.len();
+            bytes <= self.settings.message_bytes
+        });
+        // Receivers pull what does not fit.
+        let fitting = fits.count().max(1);
+        deltas.truncate(fitting);
+        let mark = self.mark();
+        for to in self.downstream(ctx) {
+            if Some(&to) != from {
+                ctx.send(to, Message::Push { mark: mark.clone(), deltas: deltas.clone() });
+            }
+        }
+    }
+
+    /// Tells those downstream of a version that only a snapshot leads to.
+    pub(crate) fn announce(&mut self, ctx: &mut Context<'_>) {
+        let mark = self.mark();
+        for to in self.downstream(ctx) {
+            ctx.send(to, Message::Probe { mark: mark.clone() });
+        }
+    }
+
+    fn downstream(&mut self, ctx: &mut Context<'_>) -> Vec<EndpointId> {
+        match (self.settings.mode, &self.source) {
+            (Mode::Tree, Some(source)) => {
+                self.view.place(&source.holder, self.settings.arity).children.clone()
+            }
+            (Mode::Epidemic, _) => {
+                let fanout = 0..self.settings.gossip_fanout;
+                fanout.filter_map(|_| self.random_peer(ctx)).collect()
+            }
+            (Mode::Tree, None) | (Mode::Poll, _) => Vec::new(),
+        }
+    }
+
+    /// Returns a random member, every so often one of another data centre.
+    fn random_peer(&mut self, ctx: &mut Context<'_>) -> Option<EndpointId> {
+        self.probes = self.probes.wrapping_add(1);
+        let remote = self.probes.is_multiple_of(self.settings.remote_every);
+        self.view.random(ctx.rng, remote)
+    }
+
+    pub(crate) fn tick_pull(&mut self, ctx: &mut Context<'_>) {
+        self.pull.expire(ctx.now);
+        if ctx.now >= self.probe_at {
+            self.probe_at = ctx.now + spread(ctx.rng, self.settings.probe_interval);
+            if let Some(to) = self.random_peer(ctx) {
+                let mark = self.mark();
+                ctx.send(to, Message::Probe { mark });
+            }
+        }
+        if self.in_force.is_none() && ctx.now >= self.pull.retry_at {
+            let (base, cap) = (self.settings.retry_base, self.settings.retry_cap);
+            self.pull.retries = self.pull.retries.saturating_add(1);
+            let bound = backoff(base, cap, self.pull.retries);
+            self.pull.retry_at = ctx.now + jitter(ctx.rng, bound);
+            if self.pull.pending.is_none()
+                && let Some(to) = self.random_peer(ctx)
+            {
+                self.start_pull(ctx, to);
+            }
+        }
+        self.pull_ahead(ctx);
+    }
+
+    pub(crate) fn tick_floor(&mut self, ctx: &mut Context<'_>) {
+        if self.floor.known.is_some()
+            || self.floor.down_since.is_none()
+            || ctx.now < self.floor.query_at
+        {
+            return;
+        }
+        self.floor.query_at = ctx.now + spread(ctx.rng, self.settings.floor_interval);
+        let nonce = self.nonce;
+        for i in 0..self.settings.floor_peers {
+            // One of another data centre, in case this one is cut off.
+            if let Some(to) = self.view.random(ctx.rng, i == 0) {
+                ctx.send(to, Message::FloorQuery { nonce });
+            }
+        }
+        self.settle(ctx);
+    }
+
+    pub(crate) fn tick_report(&mut self, ctx: &mut Context<'_>) {
+        if ctx.now < self.reports.next_at {
+            return;
+        }
+        self.reports.next_at = ctx.now + self.settings.report_interval;
+        let Some(source) = self.source.clone() else { return };
+        let parent = self.view.place(&source.holder, self.settings.arity).parent.clone();
+        if parent.is_none() && !self.lease.valid(ctx.now) {
+            return;
+        }
+        let report = self.report();
+        let fresh = self.reports.sent.as_ref().is_some_and(|(to, sent, at)| {
+            *to == parent && *sent == report && ctx.now - *at < self.settings.report_refresh
+        });
+        if fresh {
+            return;
+        }
+        self.reports.sent = Some((parent.clone(), report.clone(), ctx.now));
+        match parent {
+            Some(to) => ctx.send(to, Message::Report(report)),
+            None => ctx.out.push(Action::Report(report)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/distribution/src/platform.rs
@@ -0,0 +1,239 @@
+//! What the core does with the platform's answers.
+
+use std::{sync::Arc, time::Duration};
+
+use shallottack_config::Version;
+use shallottack_kernel::Time;
+
+use crate::{
+    Action, Distribution, EncodedDelta, FetchError, LeaseOutcome, Message, Mode, ObservedHead,
+    ObservedLease, SourceMark, Unavailable,
+    distribution::{Context, NEVER},
+    lease::Step,
+    reader::Fetch,
+    settings::spread,
+    store::Taken,
+};
+
+impl Distribution {
+    /// Returns the time between reads of the head row, or `None` when this daemon does not read.
+    fn head_interval(&self, now: Time) -> Option<Duration> {
+        match self.settings.mode {
+            Mode::Tree => self.lease.valid(now).then_some(self.settings.head_interval),
+            Mode::Epidemic => {
+                let members = self.view.local.len() as u32 + 1;
+                Some(self.settings.head_interval.saturating_mul(members))
+            }
+            Mode::Poll => Some(self.settings.poll_interval),
+        }
+    }
+
+    fn schedule_head(&mut self, ctx: &mut Context<'_>) {
+        self.reader.head_at = match self.head_interval(ctx.now) {
+            None => NEVER,
+            // Sources keep to the interval; many readers without a lease need the spread.
+            Some(interval) if self.settings.mode == Mode::Tree => ctx.now + interval,
+            Some(interval) => ctx.now + spread(ctx.rng, interval),
+        };
+    }
+
+    pub(crate) fn tick_head(&mut self, ctx: &mut Context<'_>) {
+        if ctx.now < self.reader.head_at {
+            return;
+        }
+        if self.reader.head_pending {
+            self.platform_failed(ctx);
+        } else if self.floor.known.is_none() || self.head_interval(ctx.now).is_some() {
+            self.reader.head_pending = true;
+            self.reader.head_at = ctx.now + self.settings.platform_timeout;
+            ctx.out.push(Action::ReadHead);
+        } else {
+            self.reader.head_at = NEVER;
+        }
+    }
+
+    fn platform_failed(&mut self, ctx: &mut Context<'_>) {
+        self.reader.failed(ctx.now, ctx.rng, &self.settings);
+        self.floor.table_failed(ctx.now);
+    }
+
+    pub(crate) fn head_read(
+        &mut self,
+        ctx: &mut Context<'_>,
+        result: Result<Option<ObservedHead>, Unavailable>,
+    ) {
+        self.reader.head_pending = false;
+        let Ok(head) = result else { return self.platform_failed(ctx) };
+        let version = head.map_or(Version::ZERO, |it| it.version);
+        self.reader.failures = 0;
+        self.reader.head = self.reader.head.max(version);
+        if self.floor.known.is_none() {
+            self.floor.known = Some(version);
+            self.settle(ctx);
+        }
+        self.schedule_head(ctx);
+        if self.head_interval(ctx.now).is_some() {
+            self.start_fetch(ctx);
+        }
+    }
+
+    fn start_fetch(&mut self, ctx: &mut Context<'_>) {
+        let held = self.held();
+        ctx.out.extend(self.reader.start(ctx.now, &self.settings, held));
+    }
+
+    pub(crate) fn deltas_fetched(
+        &mut self,
+        ctx: &mut Context<'_>,
+        result: Result<Vec<Arc<[u8]>>, FetchError>,
+    ) {
+        if self.reader.take().is_none() {
+            return;
+        }
+        let bodies = match result {
+            Ok(bodies) => bodies,
+            Err(FetchError::Unavailable) => return self.platform_failed(ctx),
+            Err(FetchError::Missing) => return self.next_snapshot(ctx, Fetch::Deltas),
+        };
+        let mut deltas = Vec::with_capacity(bodies.len());
+        for body in bodies {
+            match EncodedDelta::from_body(body) {
+                Some(delta) => deltas.push(delta),
+                None => self.counters.rejected += 1,
+            }
+        }
+        let before = self.held();
+        self.take_deltas(ctx, None, &deltas);
+        // Peers may have brought the same versions while the fetch was under way.
+        if self.held() > before || deltas.last().is_some_and(|it| it.to <= before) {
+            self.reader.no_snapshot = false;
+            let held = self.held();
+            ctx.out.extend(self.reader.next_deltas(ctx.now, &self.settings, held));
+        } else {
+            self.next_snapshot(ctx, Fetch::Deltas);
+        }
+    }
+
+    pub(crate) fn snapshot_fetched(
+        &mut self,
+        ctx: &mut Context<'_>,
+        result: Result<Arc<[u8]>, FetchError>,
+    ) {
+        let Some(fetch) = self.reader.take() else { return };
+        match result.map(|body| self.take_snapshot(ctx, &body)) {
+            Ok(Taken::New) => {
+                let held = self.held();
+                ctx.out.extend(self.reader.next_deltas(ctx.now, &self.settings, held));
+            }
+            // Older snapshots would not help either.
+            Ok(Taken::Old) => {
+                self.reader.no_snapshot = true;
+                self.platform_failed(ctx);
+            }
+            Ok(Taken::Gap | Taken::Invalid) | Err(FetchError::Missing) => {
+                self.next_snapshot(ctx, fetch);
+            }
+            Err(FetchError::Unavailable) => self.platform_failed(ctx),
+        }
+    }
+
+    fn next_snapshot(&mut self, ctx: &mut Context<'_>, last: Fetch) {
+        let held = self.held();
+        match self.reader.next_snapshot(ctx.now, &self.settings, held, last) {
+            Some(action) => ctx.out.push(action),
+            None => {
+                // A later attempt may try the snapshots again.
+                self.reader.no_snapshot = matches!(last, Fetch::Snapshot { .. });
+                self.platform_failed(ctx);
+            }
+        }
+    }
+
+    /// Takes in the delta of a change that this daemon committed, and hands it to the source.
+    pub(crate) fn committed(&mut self, ctx: &mut Context<'_>, body: Arc<[u8]>) {
+        let Some(delta) = EncodedDelta::from_body(body) else {
+            self.counters.rejected += 1;
+            return;
+        };
+        let deltas = vec![delta];
+        if !self.take_deltas(ctx, None, &deltas) || self.settings.mode != Mode::Tree {
+            return;
+        }
+        let Some(source) = self.source.clone() else { return };
+        if source.holder != self.me.endpoint {
+            let message = Message::Push { mark: self.mark(), deltas };
+            ctx.send(source.holder, message);
+        }
+    }
+
+    pub(crate) fn tick_lease(&mut self, ctx: &mut Context<'_>) {
+        let candidate = self.view.is_candidate();
+        let step = self.lease.due(ctx.now, ctx.rng, &self.settings, candidate);
+        self.lease_step(ctx, step);
+        if ctx.now >= self.beat_at {
+            self.beat(ctx);
+        }
+    }
+
+    fn lease_step(&mut self, ctx: &mut Context<'_>, step: Step) {
+        match step {
+            Step::Wait => {}
+            Step::Act(action) => ctx.out.push(action),
+            Step::Follow { holder, epoch } => {
+                let data_centre = self.me.data_centre.clone();
+                self.learn_source(&SourceMark { data_centre, holder, epoch });
+            }
+        }
+    }
+
+    /// Sends a heartbeat to the daemons that would otherwise try to acquire the lease.
+    fn beat(&mut self, ctx: &mut Context<'_>) {
+        if !self.lease.valid(ctx.now) {
+            self.beat_at = NEVER;
+            return;
+        }
+        self.beat_at = ctx.now + self.settings.lease_renew;
+        let mark = self.mark();
+        for to in self.view.candidates.iter().filter(|it| **it != self.me.endpoint) {
+            ctx.send(to.clone(), Message::Probe { mark: mark.clone() });
+        }
+    }
+
+    pub(crate) fn lease_read(
+        &mut self,
+        ctx: &mut Context<'_>,
+        result: Result<Option<ObservedLease>, Unavailable>,
+    ) {
+        let Ok(seen) = result else {
+            self.lease.next_at = ctx.now + self.reader.back_off(ctx.rng, &self.settings);
+            return;
+        };
+        self.reader.failures = 0;
+        let known = self.source.as_ref().map_or(0, |it| it.epoch);
+        let step = self.lease.read(ctx.now, ctx.rng, &self.settings, known, seen);
+        self.lease_step(ctx, step);
+    }
+
+    pub(crate) fn lease_committed(
+        &mut self,
+        ctx: &mut Context<'_>,
+        requested: Time,
+        outcome: LeaseOutcome,
+    ) {
+        self.lease.committed(ctx.now, ctx.rng, &self.settings, requested, outcome);
+        let Some(held) = self.lease.held else { return };
+        if !self.lease.valid(ctx.now) || outcome != LeaseOutcome::Committed {
+            return;
+        }
+        let (data_centre, holder) = (self.me.data_centre.clone(), self.me.endpoint.clone());
+        self.learn_source(&SourceMark { data_centre, holder, epoch: held.epoch });
+        // A lease that was regained after a pause starts the reads and heartbeats again.
+        if self.beat_at == NEVER {
+            self.beat(ctx);
+        }
+        if self.reader.head_at == NEVER {
+            self.reader.head_at = ctx.now;
+            self.tick_head(ctx);
+        }
+    }
+}
