Add the admission and routing decision cores

Cause: the daemon, claims and the stand-ins need the interfaces of both cores to build on.

Change: shallottack-admission decides on arrivals, completions, cancellations and ticks (deficit round robin, bounded queues, adaptive limit, refusals, class reports); shallottack-routing chooses endpoints, ejects, and decides on retries. Both are plain structs without I/O.

--- /dev/null
+++ b/crates/admission/src/settings.rs
@@ -0,0 +1,64 @@
+//! Figures of the admission core.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use shallottack_config::LatencyTarget;
+
+/// Figures of the admission core.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Highest concurrency limit as a multiple of the announced slots.
+    pub limit_factor: u32,
+    /// Factor applied to the limit on evidence of overload.
+    pub shrink: f64,
+    /// Factor applied instead when the class of a shed call misses its failure target.
+    pub shrink_failing: f64,
+    /// Ratio of latency to its floor above which the backend server counts as slow.
+    pub slow_ratio: f64,
+    /// Ratio below which the limit may grow above the announced slots.
+    pub grow_ratio: f64,
+    /// Ratio above which a limit above the announced slots goes down by one.
+    pub ease_ratio: f64,
+    /// Time without evidence of overload after which a limit below the slots goes up by one.
+    pub recovery: Duration,
+    /// Longest queue of a class in calls.
+    pub queued_calls: usize,
+    /// Time between two checks of the deadlines of queued calls.
+    pub check_every: Duration,
+    /// Service time assumed for a class without any measurement or estimate.
+    pub first_cost: Duration,
+    /// Shortest time after which a refused caller is told to retry.
+    pub min_retry: Duration,
+    /// Longest time after which a refused caller is told to retry.
+    pub max_retry: Duration,
+    /// Length of each of the two windows that a class report covers.
+    pub report_window: Duration,
+    /// Latency target of calls whose class is not in the catalog.
+    pub unlisted_latency: LatencyTarget,
+    /// Failure target of calls whose class is not in the catalog.
+    pub unlisted_failures: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            limit_factor: 4,
+            shrink: 0.9,
+            shrink_failing: 0.7,
+            slow_ratio: 2.0,
+            grow_ratio: 1.1,
+            ease_ratio: 1.25,
+            recovery: Duration::from_secs(1),
+            queued_calls: 512,
+            check_every: Duration::from_millis(5),
+            first_cost: Duration::from_millis(10),
+            min_retry: Duration::from_millis(10),
+            max_retry: Duration::from_secs(30),
+            report_window: Duration::from_secs(10),
+            unlisted_latency: LatencyTarget { quantile: 0.99, within: Duration::from_secs(1) },
+            unlisted_failures: 0.05,
+        }
+    }
+}
