--- /dev/null
+++ b/crates/config/tests/suite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the configuration crate.
+
+mod commit;
+mod snapshot;
+mod world;
--- /dev/null
+++ b/crates/config/tests/suite/snapshot.rs
@@ -0,0 +1,101 @@
+//! Snapshots, their retention and what to read.
+
+use shallottack_config::{
+    Version,
+    commit::{
+        Broken, Head, HeadRead, ReadPlan, SNAPSHOT_INTERVAL, change_key, decode, plan_read,
+        record_snapshot, retention, snapshot_due, snapshot_object,
+    },
+};
+
+fn at(seq: u64) -> Version {
+    Version { epoch: 0, seq }
+}
+
+fn head(seq: u64, kept: &[u64]) -> Head {
+    Head {
+        version: at(seq),
+        snapshot: kept.first().map(|seq| snapshot_object(*seq)),
+        snapshot_seq: kept.first().copied().unwrap_or(0),
+        older: kept.iter().skip(1).copied().collect(),
+    }
+}
+
+fn snapshot(seq: u64, to: u64) -> ReadPlan {
+    ReadPlan::Snapshot { name: snapshot_object(seq), seq, to: at(to) }
+}
+
+fn recorded(before: &Head, seq: u64) -> Option<Head> {
+    let read = HeadRead { revision: 7, head: before.clone() };
+    let transaction = record_snapshot(&read, at(seq))?;
+    assert_eq!(transaction.conditions[0].revision, Some(7));
+    Some(decode(&transaction.writes[0].value).unwrap())
+}
+
+/// Guards against a scan that gives change 10 before change 9.
+#[test]
+fn change_keys_are_in_numeric_order() {
+    assert!(change_key(9) < change_key(10));
+    assert!(change_key(u64::MAX - 1) < change_key(u64::MAX));
+}
+
+/// Guards against a reader that needs unboundedly many deltas.
+#[test]
+fn snapshot_is_due_after_64_changes() {
+    assert!(!snapshot_due(&head(63, &[])));
+    assert!(snapshot_due(&head(64, &[])));
+    assert!(!snapshot_due(&head(127, &[64])));
+}
+
+/// Guards against the removal of an object that a reader may still be sent to.
+#[test]
+fn retention_keeps_four_snapshots_and_the_deltas_after_the_oldest() {
+    let mut current = head(0, &[]);
+    for round in 1..=10 {
+        let seq = round * SNAPSHOT_INTERVAL;
+        let before = Head { version: at(seq), ..current.clone() };
+        current = recorded(&before, seq).unwrap();
+        assert_eq!(recorded(&current, seq), None, "a snapshot is recorded once");
+        let removed = retention(&before, &current);
+        let oldest = current.older.last().copied().unwrap_or(seq);
+        if round < 4 {
+            assert_eq!((removed.snapshots.len(), removed.deltas), (0, None));
+        } else {
+            assert_eq!(removed.deltas.unwrap().1, oldest);
+            assert_eq!(oldest, seq - 3 * SNAPSHOT_INTERVAL);
+        }
+        if round > 4 {
+            assert_eq!(removed.snapshots, [snapshot_object(oldest - SNAPSHOT_INTERVAL)]);
+        }
+    }
+}
+
+/// Guards against a restarted daemon that cannot find its way past a torn or missing object.
+#[test]
+fn broken_objects_are_avoided() {
+    let head = head(300, &[256, 192, 128, 64]);
+    let mut broken = Broken::default();
+    let plan = |held: Option<u64>, broken: &Broken| plan_read(&head, held.map(at), broken);
+    assert_eq!(plan(Some(300), &broken), ReadPlan::Current);
+    assert_eq!(plan(Some(290), &broken), ReadPlan::Deltas { from: at(290), to: at(300) });
+    assert_eq!(plan(Some(100), &broken), snapshot(256, 300));
+    assert_eq!(plan(None, &broken), snapshot(256, 300));
+    broken.snapshots.insert(256);
+    assert_eq!(plan(None, &broken), snapshot(192, 300));
+    broken.deltas.insert(200);
+    assert_eq!(plan(None, &broken), ReadPlan::Peer);
+    assert_eq!(plan(Some(250), &broken), ReadPlan::Deltas { from: at(250), to: at(300) });
+    assert_eq!(plan(Some(150), &broken), ReadPlan::Peer);
+}
+
+/// Guards against deltas being applied to a version that a restored table has lost.
+#[test]
+fn version_of_an_earlier_epoch_is_replaced_by_a_snapshot() {
+    let mut head = head(300, &[290, 256]);
+    head.version.epoch = 1;
+    let plan = plan_read(&head, Some(at(299)), &Broken::default());
+    assert_eq!(plan, ReadPlan::Snapshot { name: snapshot_object(290), seq: 290, to: head.version });
+    let empty = Head { version: at(5), ..Head::default() };
+    let plan = plan_read(&empty, None, &Broken::default());
+    assert_eq!(plan, ReadPlan::Deltas { from: Version::ZERO, to: at(5) });
+}
