Read and print configuration files and diff them with a catalog

Cause: operators keep their configuration as YAML files and need to learn of every problem of a file at once and where it is.

Change: `parse_file` reads `classes`, `services` and `routes` with serde-saphyr and reports each problem with line and column; `print_file` writes such a file; `Change::between` gives the change from the catalog in force to the file's. The form of a file (syntax, unknown keys, missing values) gives one problem, its contents give all.

Ruled out: the name types in the file's structs, since the parser stops at its first error and bad names would be reported one per attempt.

Conclusion: a change of more than 64 KiB that a file gives must be split by the client; this is not done here.

--- a/crates/config/src/catalog.rs
+++ b/crates/config/src/catalog.rs
@@ -80,7 +80,7 @@
         validate(self)
     }
 
-    fn insert(&mut self, resource: Resource) {
+    pub(crate) fn insert(&mut self, resource: Resource) {
         match resource {
             Resource::Class(class) => {
                 self.classes.insert(class.name.clone(), Arc::new(class));
--- /dev/null
+++ b/crates/config/src/file.rs
@@ -0,0 +1,249 @@
+//! Configuration files in YAML: the whole configuration as operators keep it.
+
+use std::{collections::BTreeMap, fmt, sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use serde_saphyr::{Error, Location, MessageFormatter, Spanned, UserMessageFormatter};
+use shallottack_kernel::BadName;
+use smallvec::SmallVec;
+
+use crate::{
+    Catalog, Change, Class, LatencyTarget, Resource, ResourceKey, Route, Service, WriteId,
+    difference, validate,
+};
+
+/// One problem of a configuration file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FileProblem {
+    /// Line, from 1; 0 when the problem is of the whole file.
+    pub line: u64,
+    /// Column in characters, from 1; 0 when the problem is of the whole file.
+    pub column: u64,
+    /// What is wrong and what was expected.
+    pub detail: String,
+}
+
+impl fmt::Display for FileProblem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.line > 0 {
+            write!(f, "line {}, column {}: ", self.line, self.column)?;
+        }
+        f.write_str(&self.detail)
+    }
+}
+
+/// Every problem found in a configuration file, in the order of the lines.
+///
+/// A file whose form is wrong (syntax, unknown keys, missing values) has one problem, the first;
+/// the contents are checked only for a file of the right form, and then as a whole.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{}", .problems.iter().map(FileProblem::to_string).collect::<Vec<_>>().join("\n"))]
+pub struct FileError {
+    /// The problems, never empty.
+    pub problems: Vec<FileProblem>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    #[serde(default)]
+    classes: Vec<Spanned<FileClass>>,
+    #[serde(default)]
+    services: Vec<Spanned<FileService>>,
+    #[serde(default)]
+    routes: Vec<Spanned<FileRoute>>,
+}
+
+// Names are read as text, so that all bad names of a file are reported together.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FileClass {
+    name: Spanned<String>,
+    latency: LatencyTarget,
+    failures: f64,
+    deadline_ms: u64,
+    #[serde(default)]
+    idempotent: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FileService {
+    name: Spanned<String>,
+    group: Spanned<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FileRoute {
+    name: Spanned<String>,
+    prefix: String,
+    #[serde(default)]
+    methods: SmallVec<[String; 4]>,
+    class: Spanned<String>,
+    service: Spanned<String>,
+}
+
+/// Returns the catalog that a configuration file describes, with version zero.
+///
+/// # Errors
+///
+/// Returns the [`FileError`] with the problems found.
+pub fn parse_file(bytes: &[u8]) -> Result<Catalog, FileError> {
+    let text = std::str::from_utf8(bytes).map_err(|error| {
+        let valid = String::from_utf8_lossy(&bytes[..error.valid_up_to()]);
+        let line = valid.matches('\n').count() as u64 + 1;
+        let column = valid.rsplit('\n').next().map_or(0, |it| it.chars().count()) as u64 + 1;
+        single(line, column, "not UTF-8 text".to_owned())
+    })?;
+    let file: File = serde_saphyr::from_str(text).map_err(|error| form_error(&error))?;
+    Builder::default().build(file)
+}
+
+fn single(line: u64, column: u64, detail: String) -> FileError {
+    FileError { problems: vec![FileProblem { line, column, detail }] }
+}
+
+fn form_error(error: &Error) -> FileError {
+    let (line, column) = error.location().map_or((0, 0), |it| (it.line(), it.column()));
+    let message = match error.without_snippet() {
+        Error::InvalidScalar { ty: "u64", .. } => "expected a whole number from 0".into(),
+        Error::InvalidScalar { ty: "f64", .. } => "expected a number".into(),
+        other => UserMessageFormatter.format_message(other),
+    };
+    single(line, column, message.escape_debug().to_string())
+}
+
+#[derive(Default)]
+struct Builder {
+    catalog: Catalog,
+    places: BTreeMap<ResourceKey, Location>,
+    problems: Vec<FileProblem>,
+}
+
+impl Builder {
+    fn build(mut self, file: File) -> Result<Catalog, FileError> {
+        for class in file.classes {
+            let place = class.value.name.referenced;
+            if let Some(class) = self.class(class.value) {
+                self.add(Resource::Class(class), place);
+            }
+        }
+        for service in file.services {
+            let place = service.value.name.referenced;
+            if let Some(service) = self.service(&service.value) {
+                self.add(Resource::Service(service), place);
+            }
+        }
+        for route in file.routes {
+            let place = route.value.name.referenced;
+            if let Some(route) = self.route(route.value) {
+                self.add(Resource::Route(route), place);
+            }
+        }
+        self.check();
+        if self.problems.is_empty() {
+            return Ok(self.catalog);
+        }
+        self.problems.sort_by_key(|it| (it.line, it.column));
+        Err(FileError { problems: self.problems })
+    }
+
+    fn class(&mut self, class: FileClass) -> Option<Class> {
+        Some(Class {
+            name: self.name(&class.name)?,
+            latency: class.latency,
+            failures: class.failures,
+            deadline: Duration::from_millis(class.deadline_ms),
+            idempotent: class.idempotent,
+        })
+    }
+
+    fn service(&mut self, service: &FileService) -> Option<Service> {
+        let name = self.name(&service.name);
+        let group = self.name(&service.group);
+        Some(Service { name: name?, group: group? })
+    }
+
+    fn route(&mut self, route: FileRoute) -> Option<Route> {
+        let name = self.name(&route.name);
+        let class = self.name(&route.class);
+        let service = self.name(&route.service);
+        Some(Route {
+            name: name?,
+            prefix: route.prefix,
+            methods: route.methods,
+            class: class?,
+            service: service?,
+        })
+    }
+
+    fn name<N: for<'a> TryFrom<&'a str, Error = BadName>>(
+        &mut self,
+        text: &Spanned<String>,
+    ) -> Option<N> {
+        match N::try_from(&text.value) {
+            Ok(name) => Some(name),
+            Err(error) => {
+                self.report(Some(text.referenced), error.to_string());
+                None
+            }
+        }
+    }
+
+    fn add(&mut self, resource: Resource, place: Location) {
+        let key = resource.key();
+        if self.catalog.contains(&key) {
+            let line = self.places.get(&key).map_or(0, Location::line);
+            self.report(Some(place), format!("{key} is already defined in line {line}"));
+            return;
+        }
+        self.catalog.insert(resource);
+        self.places.insert(key, place);
+    }
+
+    /// Checks the catalog as a whole. A reference to a resource whose own definition is wrong is
+    /// reported as well, since that resource is missing from the catalog.
+    fn check(&mut self) {
+        let Err(rejection) = validate(&self.catalog) else { return };
+        for problem in rejection.problems {
+            let place = problem.resource.as_ref().and_then(|key| self.places.get(key)).copied();
+            self.report(place, problem.to_string());
+        }
+    }
+
+    fn report(&mut self, place: Option<Location>, detail: String) {
+        let (line, column) = place.map_or((0, 0), |it| (it.line(), it.column()));
+        self.problems.push(FileProblem { line, column, detail });
+    }
+}
+
+#[derive(Serialize)]
+struct Printed<'a> {
+    classes: Vec<&'a Arc<Class>>,
+    services: Vec<&'a Arc<Service>>,
+    routes: Vec<&'a Arc<Route>>,
+}
+
+/// Returns the configuration file that describes `catalog`, without its version.
+///
+/// # Panics
+///
+/// Panics when a resource has no YAML form; all resources have one.
+pub fn print_file(catalog: &Catalog) -> String {
+    let printed = Printed {
+        classes: catalog.classes.values().collect(),
+        services: catalog.services.values().collect(),
+        routes: catalog.routes.values().collect(),
+    };
+    serde_saphyr::to_string(&printed).expect("resources are maps of text and numbers")
+}
+
+impl Change {
+    /// Returns the change that turns the resources of `held` into those of `wanted`, with the
+    /// version of `held` as its base.
+    pub fn between(held: &Catalog, wanted: &Catalog, id: WriteId) -> Change {
+        let difference = difference(held, wanted);
+        Change { id, base: held.version, upserts: difference.upserts, removes: difference.removes }
+    }
+}
