Add the HTTP listener and the client with kept connections

Cause: tide's listener sets neither TCP_NODELAY nor limits and has no graceful stop, and async-h1's client has no pool and accepts cut responses as complete.

Change: crate `http` with `serve` (limits, cancellation, graceful stop, counts) and `Pool` (kept connections, whole bodies, a deadline for the exchange, errors that tell whether the request can have reached the server). Head and body leave in one write. Four faults of async-h1 2.3.4 are worked around and tested: a short body is returned as complete, bytes beyond the body are dropped, a wake-up is lost inside the trailers of a chunked body, and a response without `Date` gets one with a line break.

Conclusion: the crate can carry the platform client, the stand-ins and the daemon's forwarded calls.

--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,18 @@
+//! HTTP/1.1 listener and client with kept connections, over async-h1.
+//!
+//! Both sides handle whole bodies only and compare their length with `Content-Length`.
+
+mod connection;
+mod error;
+mod exchange;
+mod pool;
+mod serve;
+mod stream;
+
+pub use error::Error;
+pub use exchange::Answer;
+pub use pool::{Pool, PoolCounts, PoolSettings};
+pub use serve::{Limits, Serving, Stopped, Traffic, serve};
+
+/// Response header that states whether the request was run: `no` or `unknown`.
+pub const RUN_HEADER: &str = "shallottack-run";
--- /dev/null
+++ b/crates/http/src/stream.rs
@@ -0,0 +1,118 @@
+//! TCP stream that reports its bytes and joins small writes.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll, ready},
+};
+
+use async_std::net::TcpStream;
+use futures_lite::io::{AsyncRead, AsyncWrite};
+
+/// Pending bytes above which a write goes to the socket without waiting for a flush.
+const WRITE_BUFFER_BYTES: usize = 64 * 1024;
+
+/// Receives what passes through a [`Stream`].
+pub(crate) trait Observer: Send + Sync + 'static {
+    /// Takes note of bytes that were read.
+    fn read(&self, bytes: &[u8]);
+    /// Takes note of the number of bytes that the socket accepted.
+    fn written(&self, count: usize);
+    /// Takes note of the end of the incoming stream.
+    fn ended(&self) {}
+}
+
+/// Stream whose observer sees all bytes.
+///
+/// Writes are held back until the flush that async-h1 issues after each message, so that head and
+/// body leave in one segment. A clone writes directly, since async-h1 uses a clone to send
+/// `100 Continue` without a flush.
+pub(crate) struct Stream<O> {
+    tcp: TcpStream,
+    observer: Arc<O>,
+    pending: Vec<u8>,
+    buffered: bool,
+}
+
+impl<O: Observer> Stream<O> {
+    pub(crate) fn new(tcp: TcpStream, observer: Arc<O>) -> Stream<O> {
+        Stream { tcp, observer, pending: Vec::new(), buffered: true }
+    }
+
+    fn poll_drain(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut done = 0;
+        let result = loop {
+            if done == self.pending.len() {
+                break Poll::Ready(Ok(()));
+            }
+            match Pin::new(&mut self.tcp).poll_write(cx, &self.pending[done..]) {
+                Poll::Ready(Ok(0)) => break Poll::Ready(Err(io::ErrorKind::WriteZero.into())),
+                Poll::Ready(Ok(count)) => {
+                    self.observer.written(count);
+                    done += count;
+                }
+                Poll::Ready(Err(e)) => break Poll::Ready(Err(e)),
+                Poll::Pending => break Poll::Pending,
+            }
+        };
+        self.pending.drain(..done);
+        result
+    }
+}
+
+impl<O> Clone for Stream<O> {
+    fn clone(&self) -> Self {
+        Stream {
+            tcp: self.tcp.clone(),
+            observer: Arc::clone(&self.observer),
+            pending: Vec::new(),
+            buffered: false,
+        }
+    }
+}
+
+impl<O: Observer> AsyncRead for Stream<O> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let count = ready!(Pin::new(&mut self.tcp).poll_read(cx, buf))?;
+        if count == 0 && !buf.is_empty() {
+            self.observer.ended();
+        } else {
+            self.observer.read(&buf[..count]);
+        }
+        Poll::Ready(Ok(count))
+    }
+}
+
+impl<O: Observer> AsyncWrite for Stream<O> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        if !self.buffered {
+            let count = ready!(Pin::new(&mut self.tcp).poll_write(cx, buf))?;
+            self.observer.written(count);
+            return Poll::Ready(Ok(count));
+        }
+        if self.pending.len() >= WRITE_BUFFER_BYTES {
+            ready!(self.poll_drain(cx))?;
+        }
+        self.pending.extend_from_slice(buf);
+        Poll::Ready(Ok(buf.len()))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(self.poll_drain(cx))?;
+        Pin::new(&mut self.tcp).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(self.poll_drain(cx))?;
+        Pin::new(&mut self.tcp).poll_close(cx)
+    }
+}
--- /dev/null
+++ b/crates/http/tests/suite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the HTTP listener and client against raw TCP peers.
+
+mod client;
+mod peer;
+mod server;
--- /dev/null
+++ b/crates/http/tests/suite/server.rs
@@ -0,0 +1,213 @@
+//! Listener: limits, cancellation and graceful stop.
+
+use std::time::{Duration, Instant};
+
+use async_std::{
+    channel::{self, Receiver, Sender},
+    io::WriteExt,
+    net::{TcpListener, TcpStream},
+    task,
+};
+use futures_lite::future;
+use shallottack_http::{Limits, Serving, Stopped, serve};
+use tide::http::Method;
+
+use crate::peer::{PATIENCE, get, pool, read_head, read_to_close, request};
+
+/// Application with `/fast` and `/held`, which reports its start and waits for the test.
+struct Held {
+    serving: Serving,
+    started: Receiver<()>,
+    release: Sender<()>,
+}
+
+async fn start(limits: Limits) -> Held {
+    let (start, started) = channel::unbounded();
+    let (release, released) = channel::unbounded::<()>();
+    let mut app = tide::new();
+    app.at("/fast").all(|_| async { Ok("fast") });
+    app.at("/held").all(move |_| {
+        let (start, released) = (start.clone(), released.clone());
+        async move {
+            start.send(()).await.ok();
+            released.recv().await.ok();
+            Ok("held")
+        }
+    });
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    Held { serving: serve(listener, app, limits).unwrap(), started, release }
+}
+
+/// Waits until `condition` holds.
+async fn eventually(condition: impl Fn() -> bool) {
+    let began = Instant::now();
+    while !condition() {
+        assert!(began.elapsed() < PATIENCE, "the condition does not come true");
+        task::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+async fn raw(held: &Held, bytes: &[u8]) -> TcpStream {
+    let mut stream = TcpStream::connect(held.serving.address()).await.unwrap();
+    stream.write_all(bytes).await.unwrap();
+    stream
+}
+
+/// When the head and the body of a response are written separately and without TCP_NODELAY, each
+/// call waits some 40 ms for an acknowledgement.
+#[test]
+fn sequential_calls_do_not_wait_for_acknowledgements() {
+    task::block_on(async {
+        let held = start(Limits::default()).await;
+        let (pool, address) = (pool(), held.serving.address());
+        let began = Instant::now();
+        for _ in 0..50 {
+            let answer = pool.send(address, get(address, "/fast"), PATIENCE).await.unwrap();
+            assert_eq!(answer.body, b"fast");
+        }
+        assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
+        let (traffic, counts) = (held.serving.traffic(), pool.counts());
+        assert_eq!((traffic.accepted, traffic.requests), (1, 50));
+        assert_eq!(traffic.bytes_in, counts.bytes_out);
+        // The server counts a write after the client may have read it.
+        eventually(|| held.serving.traffic().bytes_out == counts.bytes_in).await;
+    });
+}
+
+/// Connections over the limit must be told that their request was not run.
+#[test]
+fn a_connection_over_the_limit_is_refused_as_not_run() {
+    task::block_on(async {
+        let held = start(Limits { connections: 1, ..Limits::default() }).await;
+        let address = held.serving.address();
+        let _first = raw(&held, b"").await;
+        eventually(|| held.serving.traffic().open == 1).await;
+        let answer = pool().send(address, get(address, "/fast"), PATIENCE).await.unwrap();
+        assert_eq!(u16::from(answer.status()), 503);
+        assert_eq!(answer.header("shallottack-run"), Some("no"));
+        assert_eq!(held.serving.traffic().refused, 1);
+        assert_eq!(held.serving.traffic().requests, 0);
+    });
+}
+
+/// Slow clients must not hold connections for ever.
+#[test]
+fn slow_heads_and_bodies_are_cut_off() {
+    task::block_on(async {
+        let short = Duration::from_millis(50);
+        let held = start(Limits { head: short, transfer: short, ..Limits::default() }).await;
+        let mut head = raw(&held, b"GET /fast HTTP/1.1\r\nhost: a\r\n").await;
+        let body = b"POST /fast HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n\r\nab";
+        let mut body = raw(&held, body).await;
+        assert_eq!(read_to_close(&mut head).await, "");
+        assert_eq!(read_to_close(&mut body).await, "");
+        assert_eq!(held.serving.traffic().rejected, 2);
+        assert_eq!(held.serving.traffic().requests, 0);
+    });
+}
+
+/// A request whose body was cut short must not run.
+#[test]
+fn a_truncated_request_does_not_run() {
+    task::block_on(async {
+        let held = start(Limits::default()).await;
+        let request = b"POST /fast HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n\r\nab";
+        let mut stream = raw(&held, request).await;
+        stream.shutdown(std::net::Shutdown::Write).unwrap();
+        assert_eq!(read_to_close(&mut stream).await, "");
+        assert_eq!(held.serving.traffic().requests, 0);
+    });
+}
+
+#[test]
+fn malformed_and_oversized_requests_get_their_status() {
+    task::block_on(async {
+        let held = start(Limits { body_bytes: 100, ..Limits::default() }).await;
+        let address = held.serving.address();
+        let mut post = request(Method::Post, address, "/fast");
+        post.set_body(vec![0; 101]);
+        let answer = pool().send(address, post, PATIENCE).await.unwrap();
+        assert_eq!(u16::from(answer.status()), 413);
+        let long = format!("GET / HTTP/1.1\r\nhost: a\r\nx: {}\r\n\r\n", "x".repeat(9000));
+        for (bytes, status) in [(long.as_str(), 431), ("GET / HTTP/0.9\r\nhost: a\r\n\r\n", 400)] {
+            let mut stream = raw(&held, bytes.as_bytes()).await;
+            let head = read_head(&mut stream).await;
+            assert!(head.starts_with(&format!("HTTP/1.1 {status} ")), "{head}");
+            assert!(head.contains("shallottack-run: no"), "{head}");
+        }
+    });
+}
+
+/// Work for a client that has gone must end.
+#[test]
+fn closing_the_connection_cancels_the_request() {
+    task::block_on(async {
+        let held = start(Limits::default()).await;
+        let stream = raw(&held, b"GET /held HTTP/1.1\r\nhost: a\r\n\r\n").await;
+        held.started.recv().await.unwrap();
+        drop(stream);
+        eventually(|| held.serving.traffic().cancelled == 1).await;
+        eventually(|| held.serving.traffic().open == 0).await;
+    });
+}
+
+/// A stop must neither interrupt a request in flight nor wait for idle connections.
+#[test]
+fn a_graceful_stop_finishes_requests_and_closes_idle_connections() {
+    task::block_on(async {
+        let held = start(Limits::default()).await;
+        let (pool, address) = (pool(), held.serving.address());
+        pool.open_ahead(address, 3).await.unwrap();
+        let call = pool.send(address, get(address, "/held"), PATIENCE);
+        let stop = async {
+            held.started.recv().await.unwrap();
+            let stopping = held.serving.stop(PATIENCE);
+            let check = async {
+                // The listener is closed before the request in flight is released.
+                let closed = async || TcpStream::connect(address).await.is_err();
+                while !closed().await {
+                    task::sleep(Duration::from_millis(1)).await;
+                }
+                held.release.send(()).await.unwrap();
+            };
+            future::zip(stopping, check).await.0
+        };
+        let (answer, stopped) = future::zip(call, stop).await;
+        let answer = answer.unwrap();
+        assert_eq!(answer.body, b"held");
+        assert_eq!(answer.header("connection"), Some("close"));
+        assert_eq!(stopped, Stopped { aborted: 0 });
+    });
+}
+
+/// A request that never ends must not hold up a stop beyond its limit.
+#[test]
+fn a_stop_ends_at_its_limit() {
+    task::block_on(async {
+        let held = start(Limits::default()).await;
+        let mut stream = raw(&held, b"GET /held HTTP/1.1\r\nhost: a\r\n\r\n").await;
+        held.started.recv().await.unwrap();
+        assert_eq!(held.serving.stop(Duration::from_millis(50)).await, Stopped { aborted: 1 });
+        assert_eq!(read_to_close(&mut stream).await, "");
+    });
+}
+
+/// Requests that arrive on a kept connection while the stop begins are still served.
+#[test]
+fn a_stop_serves_requests_within_the_linger_time() {
+    task::block_on(async {
+        let held = start(Limits { linger: Duration::from_secs(1), ..Limits::default() }).await;
+        let (pool, address) = (pool(), held.serving.address());
+        pool.send(address, get(address, "/fast"), PATIENCE).await.unwrap();
+        let late = async {
+            while TcpStream::connect(address).await.is_ok() {
+                task::sleep(Duration::from_millis(1)).await;
+            }
+            pool.send(address, get(address, "/fast"), PATIENCE).await.unwrap()
+        };
+        let (answer, stopped) = future::zip(late, held.serving.stop(PATIENCE)).await;
+        assert_eq!(answer.body, b"fast");
+        assert_eq!(pool.counts().opened, 1);
+        assert_eq!(stopped, Stopped { aborted: 0 });
+    });
+}
