Serve a declared configuration and a caller's request from end to end

Cause: nothing ran yet; the first matter is the whole path, thin.

Not yet: several daemons as separate processes, keyed requests, the platform over HTTP.

--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -5,7 +5,9 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 use shallottack_config::Version;
-use shallottack_kernel::{ClassName, DataCentre, EndpointId, ErrorKind, GroupName, Run, ServiceName};
+use shallottack_kernel::{
+    ClassName, DataCentre, EndpointId, ErrorKind, GroupName, Run, ServiceName,
+};
 
 /// Path of the configuration in force; `GET` returns a catalog.
 pub const CONFIG_PATH: &str = "/v1/config";
--- /dev/null
+++ b/crates/shallottack/src/client.rs
@@ -0,0 +1,127 @@
+//! Requests to a daemon's operators port.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use serde::{Serialize, de::DeserializeOwned};
+use shallottack_api::ErrorBody;
+use shallottack_config::WriteId;
+use shallottack_http::{Answer, Pool, PoolSettings};
+use tide::http::{Method, Request, Url};
+
+use crate::output::Error;
+
+/// Address of a daemon when none is given.
+const DEFAULT_DAEMON: &str = "127.0.0.1:8083";
+/// Time that a daemon gets to answer.
+const TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest answer in bytes; the largest catalog fits.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// Options that all commands share.
+pub(crate) struct ClientOptions {
+    pub(crate) daemon: Option<String>,
+    pub(crate) token_file: Option<String>,
+    pub(crate) json: bool,
+}
+
+/// A daemon's operators port.
+pub(crate) struct Client {
+    address: SocketAddr,
+    token: String,
+    pool: Pool,
+}
+
+impl Client {
+    /// Creates a client from the options and the environment.
+    pub(crate) fn new(options: &ClientOptions) -> Result<Client, Error> {
+        let stated = options.daemon.clone().or_else(|| std::env::var("SHALLOTTACK_DAEMON").ok());
+        let stated = stated.unwrap_or_else(|| DEFAULT_DAEMON.to_owned());
+        let address = stated.parse().map_err(|_| {
+            Error::Usage(format!("`{stated}` is not an address like {DEFAULT_DAEMON}"))
+        })?;
+        let pool =
+            Pool::new(PoolSettings { body_bytes: MAX_ANSWER_BYTES, ..PoolSettings::default() });
+        Ok(Client { address, token: token(options)?, pool })
+    }
+
+    /// Reads a value.
+    pub(crate) async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
+        self.decode(&self.send(Method::Get, path, None).await?)
+    }
+
+    /// Posts a value and reads the answer.
+    pub(crate) async fn post<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        value: &impl Serialize,
+    ) -> Result<T, Error> {
+        let body = serde_json::to_vec(value).expect("plain data encodes");
+        self.decode(&self.send(Method::Post, path, Some(body)).await?)
+    }
+
+    /// Posts without a body, for an answer without a body.
+    pub(crate) async fn trigger(&self, path: &str) -> Result<(), Error> {
+        self.send(Method::Post, path, None).await.map(drop)
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+    ) -> Result<Answer, Error> {
+        let url = Url::parse(&format!("http://{}{path}", self.address))
+            .map_err(|error| Error::Usage(error.to_string()))?;
+        let mut request = Request::new(method, url);
+        request.insert_header("authorization", format!("Bearer {}", self.token));
+        if let Ok(user) = std::env::var("USER") {
+            request.insert_header("shallottack-operator", user);
+        }
+        if let Some(body) = body {
+            request.set_body(body);
+        }
+        let answer = self.pool.send(self.address, request, TIMEOUT).await.map_err(|error| {
+            let (address, detail) = (self.address.to_string(), error.to_string());
+            if error.may_have_reached() {
+                Error::NoAnswer { address, detail }
+            } else {
+                Error::Unreachable { address, detail }
+            }
+        })?;
+        if answer.status().is_success() {
+            return Ok(answer);
+        }
+        match serde_json::from_slice::<ErrorBody>(&answer.body) {
+            Ok(body) => Err(Error::Refused(body)),
+            Err(_) => Err(self.no_answer(format!("status {}", answer.status()))),
+        }
+    }
+
+    fn decode<T: DeserializeOwned>(&self, answer: &Answer) -> Result<T, Error> {
+        serde_json::from_slice(&answer.body).map_err(|error| self.no_answer(error.to_string()))
+    }
+
+    fn no_answer(&self, detail: String) -> Error {
+        Error::NoAnswer { address: self.address.to_string(), detail }
+    }
+}
+
+fn token(options: &ClientOptions) -> Result<String, Error> {
+    if let Some(path) = &options.token_file {
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| Error::Read { path: path.clone(), source })?;
+        return Ok(text.trim().to_owned());
+    }
+    std::env::var("SHALLOTTACK_TOKEN").map_err(|_| {
+        Error::Usage("a token is required: --token-file FILE or SHALLOTTACK_TOKEN".to_owned())
+    })
+}
+
+/// Returns a write id that no other change has: the time and random bits.
+pub(crate) fn new_write_id() -> WriteId {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    WriteId(format!("{:x}-{:016x}", now.as_millis(), rand::random::<u64>()).into())
+}
--- /dev/null
+++ b/crates/shallottack/src/cmd/mod.rs
@@ -0,0 +1,45 @@
+//! The commands, one a file.
+
+mod apply;
+mod check;
+mod classes;
+mod diff;
+mod drain;
+mod status;
+
+use gumdrop::Options;
+
+use crate::{
+    client::ClientOptions,
+    output::{Error, Exit},
+};
+
+/// Commands of the client.
+#[derive(Debug, Options)]
+pub(crate) enum Command {
+    #[options(help = "apply a configuration file to the mesh")]
+    Apply(apply::Arguments),
+    #[options(help = "show what applying a configuration file would change")]
+    Diff(diff::Arguments),
+    #[options(help = "show the versions in force and the endpoints, by data centre and service")]
+    Status(status::Arguments),
+    #[options(help = "show for each class whether its targets are met")]
+    Classes(classes::Arguments),
+    #[options(help = "stop the daemon gracefully")]
+    Drain(drain::Arguments),
+    #[options(help = "check a configuration file without a daemon")]
+    Check(check::Arguments),
+}
+
+impl Command {
+    pub(crate) async fn run(self, options: &ClientOptions) -> Result<Exit, Error> {
+        match self {
+            Command::Apply(arguments) => apply::run(arguments, options).await,
+            Command::Diff(arguments) => diff::run(arguments, options).await,
+            Command::Status(_) => status::run(options).await,
+            Command::Classes(_) => classes::run(options).await,
+            Command::Drain(_) => drain::run(options).await,
+            Command::Check(arguments) => check::run(&arguments, options),
+        }
+    }
+}
--- a/crates/shallottackd/src/lib.rs
+++ b/crates/shallottackd/src/lib.rs
@@ -1,1 +1,15 @@
 //! Daemon that sits beside a backend server.
+
+pub mod calls;
+pub mod commits;
+pub mod daemon;
+pub mod mesh;
+pub mod settings;
+pub mod telemetry;
+
+mod embedded;
+mod operators;
+mod seeds;
+
+pub use daemon::{Daemon, Running, StartError};
+pub use settings::Settings;
