Add the platform's HTTP client

Cause: the daemon reaches the table and the object store over HTTP, where a response can be lost after a write took effect.

Change: `HttpPlatform` implements both traits over `Pool` with a bearer token and one deadline per call. A commit is `Unavailable` only when no byte was sent, or when the status (400, 401, 403, 404, 413, 431) or `shallottack-run: no` excludes that it was applied; otherwise it is `Unknown`. The next address is tried only when nothing reached the current one. Names are form-encoded as one path segment, since `..` between slashes would address another row.

Ruled out: repeating a commit after a lost response inside the client; only the daemon knows the id under which to look for the write.

Conclusion: the outcome of each write is reported no better than it is known.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,9 +1,11 @@
 //! Clients of the platform's transactional table and object store.
 
+mod http;
 mod memory;
 mod object;
 mod table;
 
+pub use http::{HttpPlatform, HttpSettings, decode_name, encode_name};
 pub use memory::{Faults, MemoryPlatform};
 pub use object::{ObjectError, ObjectStore, digest, open_object, seal_object};
 pub use table::{CommitError, Condition, ReadError, Row, Table, Transaction, Write};
--- /dev/null
+++ b/crates/platform/tests/suite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the platform's clients.
+
+mod http;
