Decide how keyed requests are claimed and run at most once

Change: `Claims` takes arrivals, outcomes of transactions and reads and ends of runs, and gives batch transactions, reads, runs, stored answers and refusals. A request runs once its row is known to hold its attempt id. One that is not confirmed in half of the time to its deadline, at most 2 s, is refused as not run and never starts; its claim is then released under the row's revision. A released row stays in place, since its presence defeats a late claim transaction that requires the row to be absent.

--- /dev/null
+++ b/crates/claims/src/claims.rs
@@ -0,0 +1,563 @@
+//! The claim decisions of one daemon.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use shallottack_kernel::{EndpointId, ErrorKind, Time};
+use shallottack_platform::Transaction;
+
+use crate::{
+    Action, Actions, Arrival, AttemptId, BatchId, BatchOutcome, ClaimRow, Input, ReadOutcome,
+    RequestId, RunResult, State, StoredAnswer, answer_object,
+    batch::{Batches, Flight},
+    check_key, claim_key,
+    entry::{Entry, Fence, Phase, RowWrite, Verdict},
+};
+
+/// Timings and limits of the claim decisions.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Settings {
+    /// Most rows of one transaction.
+    pub rows: usize,
+    /// Shortest time between two transactions.
+    pub interval: Duration,
+    /// Most transactions under way.
+    pub flights: usize,
+    /// Most keyed requests that are open or whose rows are still to be written; bounds memory and
+    /// the reads after an outage.
+    pub entries: usize,
+    /// Longest wait for the confirmation of a claim. At most half of the time to the deadline is
+    /// used as well, so that a request is refused long before its deadline (R12).
+    pub confirm: Duration,
+    /// Time after its deadline during which an attempt may still be alive.
+    pub slack: Duration,
+    /// Time for which rows are retained.
+    pub retain: Duration,
+    /// Largest answer that is kept in the row, in bytes.
+    pub inline: usize,
+    /// When a refused caller may come back.
+    pub retry_after: Duration,
+    /// Longest wait before the first repeat of a failed step; it doubles with each further one.
+    pub base: Duration,
+    /// Longest wait between repeats of a failed step.
+    pub cap: Duration,
+    /// Time for which the outcome of a run is offered to the table.
+    pub store: Duration,
+    /// Writes of an answer's object before its claim is recorded as unknown.
+    pub puts: u32,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            rows: 25,
+            interval: Duration::from_millis(5),
+            flights: 8,
+            entries: 1_024,
+            confirm: Duration::from_secs(2),
+            slack: Duration::from_secs(5),
+            retain: Duration::from_secs(24 * 3_600),
+            inline: 16 * 1024,
+            retry_after: Duration::from_secs(1),
+            base: Duration::from_millis(200),
+            cap: Duration::from_secs(30),
+            store: Duration::from_secs(600),
+            puts: 5,
+        }
+    }
+}
+
+/// Claim decisions of one daemon.
+#[derive(Debug, Clone)]
+pub struct Claims {
+    settings: Settings,
+    endpoint: EndpointId,
+    nonce: u64,
+    origin_ms: u64,
+    attempts: u64,
+    batches: Batches,
+    entries: BTreeMap<Arc<str>, Entry>,
+    runs: BTreeMap<RequestId, Arc<str>>,
+    timers: BTreeSet<(Time, Arc<str>)>,
+    /// Moving average of the time that a transaction takes.
+    latency: Duration,
+}
+
+impl Claims {
+    /// Creates the decisions of a daemon that has just started.
+    ///
+    /// `nonce` is a random number that no other start of a daemon has drawn. `origin_ms` is the
+    /// Unix time in milliseconds at the origin of [`Time`]; row times are only compared with a
+    /// tolerance of seconds to hours, so that clocks of daemons need to agree only roughly.
+    pub fn new(settings: Settings, endpoint: EndpointId, nonce: u64, origin_ms: u64) -> Claims {
+        Claims {
+            settings,
+            endpoint,
+            nonce,
+            origin_ms,
+            attempts: 0,
+            batches: Batches::default(),
+            entries: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            timers: BTreeSet::new(),
+            latency: Duration::ZERO,
+        }
+    }
+
+    /// Takes an input and returns what to do.
+    pub fn handle(&mut self, now: Time, rng: &mut dyn Rng, input: Input) -> Actions {
+        let mut actions = Actions::new();
+        // Timers come first, so that a confirmation that arrives too late starts no run.
+        self.run_timers(now, &mut actions);
+        match input {
+            Input::Arrive(arrival) => self.arrive(now, &arrival, &mut actions),
+            Input::Batch { batch, outcome } => self.land(now, rng, batch, &outcome, &mut actions),
+            Input::Row { key, outcome } => self.on_row(now, rng, &key, outcome, &mut actions),
+            Input::Finished { request, result } => {
+                self.finish(now, request, result, &mut actions);
+            }
+            Input::Stored { key, written } => self.on_stored(now, rng, &key, written),
+            Input::Tick => {}
+        }
+        self.flush(now, &mut actions);
+        actions
+    }
+
+    /// Returns when the next [`Input::Tick`] is due, far in the future when nothing is waited for.
+    pub fn wake_at(&self) -> Time {
+        let timer = self.timers.first().map(|(time, _)| *time);
+        let due = self.batches.due(self.settings.flights);
+        timer.into_iter().chain(due).min().unwrap_or(Time(u64::MAX))
+    }
+
+    /// Returns the number of requests that are open or whose rows are still to be written.
+    pub fn open(&self) -> usize {
+        self.entries.len()
+    }
+
+    fn wall_ms(&self, time: Time) -> u64 {
+        self.origin_ms + time.0 / 1_000
+    }
+
+    fn arrive(&mut self, now: Time, arrival: &Arrival, actions: &mut Actions) {
+        let request = arrival.request;
+        if check_key(&arrival.key).is_err() {
+            return actions.push(refuse(request, ErrorKind::BadRequest, None));
+        }
+        let key = claim_key(&arrival.service, &arrival.key);
+        if let Some(entry) = self.entries.get(&key) {
+            return actions.push(self.answer_local(entry, arrival));
+        }
+        let after = Some(self.settings.retry_after);
+        if self.entries.len() >= self.settings.entries {
+            return actions.push(refuse(request, ErrorKind::Overloaded, after));
+        }
+        let half = arrival.deadline.since(now) / 2;
+        let give_up = now + half.min(self.settings.confirm);
+        if now + self.estimate() >= give_up {
+            return actions.push(refuse(request, ErrorKind::DeadlineUnmet, after));
+        }
+        self.attempts += 1;
+        let entry = Entry {
+            request,
+            attempt: AttemptId { nonce: self.nonce, number: self.attempts },
+            digest: arrival.digest,
+            deadline: arrival.deadline,
+            phase: Phase::Queued(RowWrite::Claim),
+            live: true,
+            expect: None,
+            doubt: false,
+            outcome: None,
+            answer: None,
+            timer: None,
+            tries: 0,
+            store_until: now,
+        };
+        self.entries.insert(key.clone(), entry);
+        self.set_timer(&key, Some(give_up));
+        self.batches.push(key);
+    }
+
+    /// Answers a repeat of a request that this daemon has open.
+    fn answer_local(&self, entry: &Entry, arrival: &Arrival) -> Action {
+        let after = Some(self.settings.retry_after);
+        let waiting = entry.live || entry.phase == Phase::Running;
+        let released = !waiting && entry.outcome.is_none() && entry.answer.is_none();
+        if entry.digest != arrival.digest && !released {
+            return refuse(arrival.request, ErrorKind::KeyReused, None);
+        }
+        match (&entry.outcome, &entry.answer) {
+            (Some(State::Done(answer)), _) => {
+                Action::AnswerStored { request: arrival.request, answer: answer.clone() }
+            }
+            (None, Some(answer)) => Action::AnswerStored {
+                request: arrival.request,
+                answer: StoredAnswer::Inline(answer.clone()),
+            },
+            (Some(_), _) => refuse(arrival.request, ErrorKind::OutcomeUnknown, None),
+            (None, None) => refuse(arrival.request, ErrorKind::KeyInProgress, after),
+        }
+    }
+
+    /// Returns the time that a claim made now is expected to take. With nothing under way a claim
+    /// is always tried, since a slow period would otherwise never be seen to end.
+    fn estimate(&self) -> Duration {
+        if self.batches.is_idle() {
+            return Duration::ZERO;
+        }
+        let ahead = self.batches.waiting() / self.settings.rows.max(1);
+        self.settings.interval.saturating_mul(ahead as u32) + self.latency
+    }
+
+    fn run_timers(&mut self, now: Time, actions: &mut Actions) {
+        while let Some((time, key)) = self.timers.first().cloned() {
+            if time > now {
+                return;
+            }
+            self.set_timer(&key, None);
+            self.on_timer(now, &key, actions);
+        }
+    }
+
+    fn on_timer(&mut self, now: Time, key: &Arc<str>, actions: &mut Actions) {
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        match entry.phase {
+            Phase::Queued(RowWrite::Claim) => {
+                let doubt = entry.doubt;
+                self.batches.remove(key);
+                self.give_up(key, actions);
+                if doubt { self.read(key, actions) } else { self.close(key) }
+            }
+            // The outcome of the step that is under way decides on the release.
+            Phase::Committing(RowWrite::Claim) | Phase::Reading => self.give_up(key, actions),
+            Phase::Paused => self.read(key, actions),
+            Phase::StorePaused if entry.outcome.is_some() => {
+                if now < entry.store_until {
+                    self.queue(key, RowWrite::Final);
+                } else {
+                    self.close(key);
+                }
+            }
+            Phase::StorePaused => self.put_answer(key, actions),
+            Phase::Queued(_) | Phase::Committing(_) | Phase::Running | Phase::Storing => {}
+        }
+    }
+
+    /// Refuses the request as not run; it never starts from here on.
+    fn give_up(&mut self, key: &str, actions: &mut Actions) {
+        self.settle(key, ErrorKind::PlatformDown, Some(self.settings.retry_after), actions);
+    }
+
+    fn settle(
+        &mut self,
+        key: &str,
+        kind: ErrorKind,
+        after: Option<Duration>,
+        actions: &mut Actions,
+    ) {
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        if std::mem::replace(&mut entry.live, false) {
+            actions.push(refuse(entry.request, kind, after));
+        }
+    }
+
+    fn land(
+        &mut self,
+        now: Time,
+        rng: &mut dyn Rng,
+        batch: BatchId,
+        outcome: &BatchOutcome,
+        actions: &mut Actions,
+    ) {
+        let Some(Flight { sent, keys }) = self.batches.land(batch) else { return };
+        match outcome {
+            BatchOutcome::Committed => {
+                self.latency = (self.latency * 7 + now.since(sent)) / 8;
+                for key in &keys {
+                    self.on_committed(key, actions);
+                }
+            }
+            BatchOutcome::Conflict { key } => self.on_conflict(keys, key, actions),
+            BatchOutcome::Unavailable => {
+                for key in &keys {
+                    self.on_unavailable(now, rng, key, actions);
+                }
+            }
+            BatchOutcome::Unknown => {
+                for key in &keys {
+                    self.on_unknown(now, rng, key, actions);
+                }
+            }
+        }
+    }
+
+    fn on_committed(&mut self, key: &Arc<str>, actions: &mut Actions) {
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        match entry.phase {
+            Phase::Committing(RowWrite::Claim) => {
+                entry.doubt = true;
+                if entry.live { self.start(key, actions) } else { self.read(key, actions) }
+            }
+            _ => self.close(key),
+        }
+    }
+
+    /// Takes the conflicting row out of a batch and sends the others again at once.
+    fn on_conflict(&mut self, keys: Vec<Arc<str>>, conflict: &Arc<str>, actions: &mut Actions) {
+        let named = keys.contains(conflict);
+        let mut again = Vec::new();
+        for key in keys {
+            let Some(entry) = self.entries.get_mut(&key) else { continue };
+            let Phase::Committing(write) = entry.phase else { continue };
+            let failed = if named { key == *conflict } else { write != RowWrite::Final };
+            if !failed {
+                if write == RowWrite::Claim && !entry.live && !entry.doubt {
+                    self.close(&key);
+                    continue;
+                }
+                entry.phase = Phase::Queued(write);
+                again.push(key);
+            } else if entry.live || entry.doubt {
+                self.read(&key, actions);
+            } else {
+                self.close(&key);
+            }
+        }
+        self.batches.push_front(again);
+    }
+
+    fn on_unavailable(
+        &mut self,
+        now: Time,
+        rng: &mut dyn Rng,
+        key: &Arc<str>,
+        actions: &mut Actions,
+    ) {
+        let Some(entry) = self.entries.get(key) else { return };
+        match entry.phase {
+            Phase::Committing(RowWrite::Final) => {
+                self.pause(now, rng, key, Phase::StorePaused);
+            }
+            _ => {
+                let doubt = entry.doubt;
+                self.give_up(key, actions);
+                if doubt { self.pause(now, rng, key, Phase::Paused) } else { self.close(key) }
+            }
+        }
+    }
+
+    fn on_unknown(&mut self, now: Time, rng: &mut dyn Rng, key: &Arc<str>, actions: &mut Actions) {
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        match entry.phase {
+            Phase::Committing(RowWrite::Final) => {
+                self.pause(now, rng, key, Phase::StorePaused);
+            }
+            _ => {
+                entry.doubt = true;
+                self.read(key, actions);
+            }
+        }
+    }
+
+    fn on_row(
+        &mut self,
+        now: Time,
+        rng: &mut dyn Rng,
+        key: &Arc<str>,
+        outcome: ReadOutcome,
+        actions: &mut Actions,
+    ) {
+        let wall = self.wall_ms(now);
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        if entry.phase != Phase::Reading {
+            return;
+        }
+        if !entry.live {
+            return self.on_fence(now, rng, key, &outcome);
+        }
+        let verdict = entry.verdict(outcome, wall);
+        match verdict {
+            Verdict::Ours => return self.start(key, actions),
+            Verdict::Claim(expect) => {
+                entry.expect = expect;
+                return self.queue(key, RowWrite::Claim);
+            }
+            Verdict::Unavailable => {
+                let doubt = entry.doubt;
+                self.give_up(key, actions);
+                if doubt {
+                    return self.pause(now, rng, key, Phase::Paused);
+                }
+            }
+            // The row is held by another attempt, at another revision than the one on which a
+            // claim of this entry is conditional: none of its transactions can take effect now.
+            Verdict::Reused => self.settle(key, ErrorKind::KeyReused, None, actions),
+            Verdict::Unknown => self.settle(key, ErrorKind::OutcomeUnknown, None, actions),
+            Verdict::Busy(until) => {
+                let left = Duration::from_millis(until.saturating_sub(wall));
+                let after = Some(left.min(self.settings.retry_after));
+                self.settle(key, ErrorKind::KeyInProgress, after, actions);
+            }
+            Verdict::Done(answer) => {
+                actions.push(Action::AnswerStored { request: entry.request, answer });
+            }
+        }
+        self.close(key);
+    }
+
+    fn on_fence(&mut self, now: Time, rng: &mut dyn Rng, key: &Arc<str>, outcome: &ReadOutcome) {
+        let Some(entry) = self.entries.get(key) else { return };
+        if !entry.doubt {
+            return self.close(key);
+        }
+        match entry.fence(outcome) {
+            Fence::Closed => self.close(key),
+            Fence::Release(revision) => self.queue(key, RowWrite::Release(revision)),
+            Fence::Unavailable => self.pause(now, rng, key, Phase::Paused),
+        }
+    }
+
+    fn start(&mut self, key: &Arc<str>, actions: &mut Actions) {
+        self.set_timer(key, None);
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        entry.phase = Phase::Running;
+        entry.live = false;
+        self.runs.insert(entry.request, key.clone());
+        actions.push(Action::Run { request: entry.request });
+    }
+
+    fn finish(&mut self, now: Time, request: RequestId, result: RunResult, actions: &mut Actions) {
+        let Some(key) = self.runs.remove(&request) else { return };
+        let Some(entry) = self.entries.get_mut(&key) else { return };
+        entry.store_until = now + self.settings.store;
+        match result {
+            RunResult::NotRun => self.read(&key, actions),
+            RunResult::Unknown => {
+                entry.outcome = Some(State::Unknown);
+                self.queue(&key, RowWrite::Final);
+            }
+            RunResult::Answer(answer) if answer.size() <= self.settings.inline => {
+                entry.outcome = Some(State::Done(StoredAnswer::Inline(answer)));
+                self.queue(&key, RowWrite::Final);
+            }
+            RunResult::Answer(answer) => {
+                entry.answer = Some(answer);
+                self.put_answer(&key, actions);
+            }
+        }
+    }
+
+    fn put_answer(&mut self, key: &Arc<str>, actions: &mut Actions) {
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        let Some(answer) = entry.answer.clone() else { return };
+        entry.phase = Phase::Storing;
+        let name = answer_object(key, entry.attempt);
+        actions.push(Action::PutObject { key: key.clone(), name, answer });
+    }
+
+    fn on_stored(&mut self, now: Time, rng: &mut dyn Rng, key: &Arc<str>, written: bool) {
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        if entry.phase != Phase::Storing {
+            return;
+        }
+        if written {
+            let name = answer_object(key, entry.attempt);
+            entry.outcome = Some(State::Done(StoredAnswer::Object(name)));
+        } else if entry.tries + 1 >= self.settings.puts {
+            entry.outcome = Some(State::Unknown);
+        } else {
+            return self.pause(now, rng, key, Phase::StorePaused);
+        }
+        entry.answer = None;
+        entry.tries = 0;
+        self.queue(key, RowWrite::Final);
+    }
+
+    fn read(&mut self, key: &Arc<str>, actions: &mut Actions) {
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        entry.phase = Phase::Reading;
+        actions.push(Action::ReadRow { key: key.clone() });
+    }
+
+    fn queue(&mut self, key: &Arc<str>, write: RowWrite) {
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        entry.phase = Phase::Queued(write);
+        self.batches.push(key.clone());
+    }
+
+    fn pause(&mut self, now: Time, rng: &mut dyn Rng, key: &Arc<str>, phase: Phase) {
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        let doubled = self.settings.base.saturating_mul(1 << entry.tries.min(16));
+        let most = doubled.min(self.settings.cap).as_micros() as u64;
+        entry.tries += 1;
+        entry.phase = phase;
+        // At least half of the wait, since a release has no caller that waits for it.
+        let wait = Duration::from_micros(most / 2 + rng.next_u64() % (most / 2 + 1));
+        self.set_timer(key, Some(now + wait));
+    }
+
+    fn close(&mut self, key: &Arc<str>) {
+        self.set_timer(key, None);
+        self.entries.remove(key);
+    }
+
+    fn set_timer(&mut self, key: &Arc<str>, timer: Option<Time>) {
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        if let Some(old) = std::mem::replace(&mut entry.timer, timer) {
+            self.timers.remove(&(old, key.clone()));
+        }
+        if let Some(time) = timer {
+            self.timers.insert((time, key.clone()));
+        }
+    }
+
+    fn flush(&mut self, now: Time, actions: &mut Actions) {
+        if self.batches.due(self.settings.flights).is_none_or(|due| due > now) {
+            return;
+        }
+        let next = now + self.settings.interval;
+        let (batch, keys) = self.batches.take(now, self.settings.rows, next);
+        let mut transaction = Transaction::default();
+        for key in &keys {
+            transaction = self.add_write(now, transaction, key);
+        }
+        actions.push(Action::Commit { batch, transaction });
+    }
+
+    fn add_write(&mut self, now: Time, transaction: Transaction, key: &Arc<str>) -> Transaction {
+        let wall = self.wall_ms(now);
+        let until_ms = |deadline| self.wall_ms(deadline) + self.settings.slack.as_millis() as u64;
+        let Some(entry) = self.entries.get(key) else { return transaction };
+        let Phase::Queued(write) = entry.phase else { return transaction };
+        let (state, when) = match write {
+            RowWrite::Claim => (State::Running, Some(entry.expect)),
+            RowWrite::Release(revision) => (State::Released, Some(revision)),
+            RowWrite::Final => (entry.outcome.clone().unwrap_or(State::Unknown), None),
+        };
+        let row = ClaimRow {
+            attempt: entry.attempt,
+            endpoint: self.endpoint.clone(),
+            digest: entry.digest,
+            state,
+            until_ms: until_ms(entry.deadline),
+            expires_ms: wall + self.settings.retain.as_millis() as u64,
+        };
+        let transaction = match when {
+            Some(revision) => transaction.when(&**key, revision),
+            None => transaction,
+        };
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.phase = Phase::Committing(write);
+        }
+        transaction.put(&**key, row.encode())
+    }
+}
+
+fn refuse(request: RequestId, kind: ErrorKind, retry_after: Option<Duration>) -> Action {
+    Action::Refuse { request, kind, retry_after }
+}
--- /dev/null
+++ b/crates/claims/tests/suite/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the claim decisions.
+
+mod batches;
+mod claims;
+mod rows;
+mod world;
