Measure convergence on many daemons in one process

Cause: the time until a change is in force everywhere, and its cost, have to be measured on the real cores and transport before they are improved.

--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -113,6 +113,7 @@
         to: SocketAddr,
         envelope: Envelope,
     ) -> Result<Envelope, DeliverError> {
+        self.traffic.count_exchange();
         let mut client = match self.kept(to) {
             Some(client) => client,
             None => self.connect(to).await?,
@@ -152,6 +153,7 @@
     async fn handshake(&self, to: SocketAddr) -> Result<MeshClient<Channel>, String> {
         let stream = TcpStream::connect(to).await.map_err(|error| error.to_string())?;
         stream.set_nodelay(true).map_err(|error| error.to_string())?;
+        self.traffic.count_connection();
         let stream = CountedStream::new(stream, Arc::clone(&self.traffic));
         let (sender, connection) = Builder::new(Spawner)
             .handshake(FuturesIo::new(stream))
--- a/crates/rpc/src/io.rs
+++ b/crates/rpc/src/io.rs
@@ -14,11 +14,13 @@
 use async_std::net::TcpStream;
 use futures_lite::{AsyncRead, AsyncWrite};
 
-/// Bytes that passed through a daemon's connections to other daemons.
+/// Bytes, connections and exchanges that passed through a daemon's connections to other daemons.
 #[derive(Debug, Default)]
 pub struct Traffic {
     sent: AtomicU64,
     received: AtomicU64,
+    connections: AtomicU64,
+    exchanges: AtomicU64,
 }
 
 impl Traffic {
@@ -27,6 +29,24 @@
         self.sent.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of connections opened.
+    pub fn connections(&self) -> u64 {
+        self.connections.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of exchanges begun.
+    pub fn exchanges(&self) -> u64 {
+        self.exchanges.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn count_connection(&self) {
+        self.connections.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn count_exchange(&self) {
+        self.exchanges.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Returns the number of bytes received.
     pub fn received_bytes(&self) -> u64 {
         self.received.load(Ordering::Relaxed)
--- a/crates/shallottackd/src/calls/backend.rs
+++ b/crates/shallottackd/src/calls/backend.rs
@@ -56,13 +56,8 @@
     woken: Receiver<()>,
 }
 
-/// How the run of a call on the backend server ended.
-pub(crate) enum RunResult {
-    /// A whole answer came.
-    Answered(Box<Answer>),
-    /// It failed; the kind tells whether it can have run.
-    Failed(Failure),
-}
+/// Whole answer of the backend server, or a failure whose kind tells whether the call can have run.
+pub(crate) type RunResult = Result<Box<Answer>, Failure>;
 
 impl Backend {
     /// Name under which the service is registered with the kernel.
@@ -166,7 +161,7 @@
     pub(crate) async fn serve(self: &Arc<Self>, call: &Call, retries: u8) -> RunResult {
         match self.admit(call).await {
             Ok((address, slot)) => self.run(address, slot, call, retries).await,
-            Err(failure) => RunResult::Failed(failure),
+            Err(failure) => Err(failure),
         }
     }
 
@@ -245,7 +240,7 @@
                     self.answered.store(false, Ordering::Relaxed);
                     self.mesh.membership(membership::Input::ConnectFailed);
                 }
-                return (Outcome::Failed, RunResult::Failed(exchange_failure(&error)));
+                return (Outcome::Failed, Err(exchange_failure(&error)));
             }
         };
         self.note_answer();
@@ -254,10 +249,10 @@
             let after = answer::retry_after(&answer).unwrap_or(ABSENT_RETRY);
             let failure = Failure::new(ErrorKind::Overloaded, "the backend server shed the call")
                 .retry_after(after);
-            return (Outcome::Shed, RunResult::Failed(failure));
+            return (Outcome::Shed, Err(failure));
         }
         let outcome = if status >= 500 { Outcome::Failed } else { Outcome::Answered };
-        (outcome, RunResult::Answered(Box::new(answer)))
+        (outcome, Ok(Box::new(answer)))
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/shallottackd/src/calls/call.rs
+++ b/crates/shallottackd/src/calls/call.rs
@@ -129,6 +129,11 @@
         })
     }
 
+    /// Returns the key of a call that must run at most once, or `None` for other calls.
+    pub(crate) fn claim_key(&self) -> Option<&str> {
+        self.key.as_deref().filter(|_| !self.idempotent)
+    }
+
     /// Returns whether sending the call again can't run it twice.
     pub(crate) fn repeat_safe(&self) -> bool {
         self.idempotent || self.key.is_some()
--- a/crates/shallottackd/src/calls/callers.rs
+++ b/crates/shallottackd/src/calls/callers.rs
@@ -12,9 +12,8 @@
 use super::{
     Calls,
     answer::{self, LEAVING_HEADER, LOAD_HEADER},
-    backend::RunResult,
     call::{Call, stated_deadline},
-    relay::pass_on,
+    relay::{Served, pass_on},
     route_table::RouteEntry,
 };
 
@@ -159,12 +158,16 @@
         let load = Some(load_report(self.backend.load()));
         let leaving = self.backend.stopping();
         match result {
-            RunResult::Answered(answer) => {
+            Served::Answered(answer) => {
                 let failed = u16::from(answer.status()) >= 500;
                 let outcome = Outcome::Answered { failed, load, leaving };
                 Attempt { outcome, answer: Some(pass_on(*answer)), detail: String::new() }
             }
-            RunResult::Failed(failure) => {
+            Served::Stored(response) => {
+                let outcome = Outcome::Answered { failed: false, load, leaving };
+                Attempt { outcome, answer: Some(*response), detail: String::new() }
+            }
+            Served::Failed(failure) => {
                 let outcome = Outcome::Refused {
                     kind: failure.kind,
                     not_run: failure.kind.answer().run == Run::No,
--- a/crates/shallottackd/src/calls/mod.rs
+++ b/crates/shallottackd/src/calls/mod.rs
@@ -5,6 +5,7 @@
 mod backend;
 mod call;
 mod callers;
+mod keyed;
 mod relay;
 mod route_table;
 
@@ -26,8 +27,8 @@
 use shallottack_membership::{Member, State};
 use shallottack_routing::{CallId, Candidate, CandidateState, Router};
 
-pub use self::backend::Backend;
 pub(crate) use self::{answer::failure_response, route_table::RouteTable};
+pub use self::{backend::Backend, keyed::KeyedCalls};
 use crate::mesh::{Mesh, Observer};
 
 /// Service that answers callers' requests.
@@ -36,6 +37,7 @@
     token: Arc<str>,
     mesh: Arc<Mesh>,
     backend: Arc<Backend>,
+    keyed: Arc<KeyedCalls>,
     clock: SystemClock,
     router: Arc<Mutex<Router>>,
     routes: Arc<ArcSwapOption<RouteTable>>,
@@ -55,6 +57,7 @@
         view: &CallsView,
         mesh: Arc<Mesh>,
         backend: Arc<Backend>,
+        keyed: Arc<KeyedCalls>,
         pool: PoolSettings,
     ) -> Arc<Calls> {
         Arc::new(Calls {
@@ -62,6 +65,7 @@
             token: token.into(),
             mesh,
             backend,
+            keyed,
             clock: view.clock,
             router: Arc::clone(&view.router),
             routes: Arc::clone(&view.routes),
--- a/crates/shallottackd/src/calls/relay.rs
+++ b/crates/shallottackd/src/calls/relay.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use shallottack_http::Answer;
 use shallottack_kernel::{Clock, ErrorKind, Failure};
 use subtle::ConstantTimeEq;
 use tide::http::{Request, Response};
@@ -13,6 +14,25 @@
     call::{Call, TOKEN_HEADER},
 };
 
+/// How a call ended at the daemon beside the backend server.
+pub(crate) enum Served {
+    /// The backend server gave a whole answer.
+    Answered(Box<Answer>),
+    /// The stored answer of an earlier request with the same key.
+    Stored(Box<Response>),
+    /// It failed; the kind tells whether it can have run.
+    Failed(Failure),
+}
+
+impl From<RunResult> for Served {
+    fn from(result: RunResult) -> Served {
+        match result {
+            Ok(answer) => Served::Answered(answer),
+            Err(failure) => Served::Failed(failure),
+        }
+    }
+}
+
 impl Calls {
     /// Answers a forwarded call.
     pub(crate) async fn relay(self: Arc<Self>, request: Request) -> Response {
@@ -26,11 +46,12 @@
                 let retries = call.retries.unwrap_or(0);
                 self.serve_local(&call, retries).await
             }
-            Err(failure) => RunResult::Failed(failure),
+            Err(failure) => Served::Failed(failure),
         };
         let mut response = match result {
-            RunResult::Answered(answer) => pass_on(*answer),
-            RunResult::Failed(failure) => answer::failure_response(&failure),
+            Served::Answered(answer) => pass_on(*answer),
+            Served::Stored(response) => *response,
+            Served::Failed(failure) => answer::failure_response(&failure),
         };
         response.insert_header(LOAD_HEADER, answer::load_value(self.backend.load()));
         if self.backend.stopping() {
@@ -40,13 +61,16 @@
     }
 
     /// Runs a call on the backend server beside this daemon, at most once when it is keyed.
-    pub(crate) async fn serve_local(&self, call: &Call, retries: u8) -> RunResult {
-        self.backend.serve(call, retries).await
+    pub(crate) async fn serve_local(&self, call: &Call, retries: u8) -> Served {
+        match call.claim_key() {
+            Some(key) => self.keyed.serve(key, call, retries).await,
+            None => self.backend.serve(call, retries).await.into(),
+        }
     }
 }
 
 /// Returns an answer as it is passed on to the next connection.
-pub(crate) fn pass_on(answer: shallottack_http::Answer) -> Response {
+pub(crate) fn pass_on(answer: Answer) -> Response {
     let mut response = answer.into_response();
     let dropped: Vec<_> =
         response.header_names().filter(|it| !answer::passes(it.as_str())).cloned().collect();
--- a/crates/shallottackd/src/daemon.rs
+++ b/crates/shallottackd/src/daemon.rs
@@ -18,12 +18,12 @@
 use shallottack_http::{Limits as HttpLimits, PoolSettings, Serving, serve};
 use shallottack_kernel::{EndpointId, Registry, SystemClock};
 use shallottack_membership::{self as membership, Addresses, Identity};
-use shallottack_platform::{MemoryPlatform, Platform};
+use shallottack_platform::{HttpPlatform, HttpSettings, MemoryPlatform, Platform};
 use shallottack_rpc::{Peers, PeersSettings, Traffic};
 use tide::Request;
 
 use crate::{
-    calls::{Backend, Calls, CallsView, relay_pool},
+    calls::{Backend, Calls, CallsView, KeyedCalls, relay_pool},
     commits::Commits,
     embedded,
     mesh::{Mesh, MeshHandler, MeshParts},
@@ -135,7 +135,9 @@
     pub async fn start(self) -> Result<Daemon<Running>, StartError> {
         let platform: Arc<dyn Platform> = match &self.settings.platform {
             PlatformSettings::Memory {} => Arc::new(MemoryPlatform::new()),
-            PlatformSettings::Http { address, token } => todo_http(*address, token),
+            PlatformSettings::Http { addresses, token } => {
+                Arc::new(HttpPlatform::new(HttpSettings::new(addresses.clone(), token.as_str())))
+            }
         };
         self.start_on(platform).await
     }
@@ -169,7 +171,7 @@
                 Arc::clone(&traffic),
             ),
             traffic: Arc::clone(&traffic),
-            platform,
+            platform: Arc::clone(&platform),
             observer: Arc::clone(&view) as _,
             clock,
             seed: rand::random(),
@@ -181,12 +183,15 @@
         };
         let backend = Backend::new(Arc::clone(&mesh), clock, pool);
         view.attach(Arc::clone(&backend));
+        let keyed =
+            KeyedCalls::new(settings.endpoint.clone(), platform, Arc::clone(&backend), clock);
         let calls = Calls::new(
             settings.endpoint.clone(),
             &settings.tokens.mesh,
             &view,
             Arc::clone(&mesh),
             Arc::clone(&backend),
+            Arc::clone(&keyed),
             relay_pool(settings.limits.body_bytes),
         );
         let commits = Arc::new(Commits::new(Arc::clone(&mesh)));
@@ -211,6 +216,7 @@
             peers,
             async_std::task::spawn(Arc::clone(&mesh).run()),
             async_std::task::spawn(Arc::clone(&backend).run_timers()),
+            async_std::task::spawn(keyed.run_timers()),
             async_std::task::spawn(seeds::run(Arc::clone(&mesh), settings.seeds.clone())),
         ];
         let listen_failed = |port: &'static str, address: SocketAddr| {
@@ -443,7 +449,3 @@
         Err(failure) => Err(failed(failure.to_string())),
     }
 }
-
-fn todo_http(_: SocketAddr, _: &str) -> Arc<dyn Platform> {
-    Arc::new(MemoryPlatform::new())
-}
--- a/crates/shallottackd/src/lib.rs
+++ b/crates/shallottackd/src/lib.rs
@@ -4,12 +4,12 @@
 pub mod commits;
 pub mod daemon;
 pub mod mesh;
+pub mod seeds;
 pub mod settings;
 pub mod telemetry;
 
 mod embedded;
 mod operators;
-mod seeds;
 
 pub use daemon::{Daemon, Running, StartError};
 pub use settings::Settings;
--- a/crates/shallottackd/src/mesh/mod.rs
+++ b/crates/shallottackd/src/mesh/mod.rs
@@ -6,7 +6,10 @@
 
 use std::{
     collections::BTreeSet,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -82,6 +85,7 @@
     catalog: ArcSwapOption<Catalog>,
     wake: Sender<()>,
     woken: Receiver<()>,
+    halted: AtomicBool,
 }
 
 /// Input of one of the two cores.
@@ -124,6 +128,7 @@
             catalog: ArcSwapOption::empty(),
             wake,
             woken,
+            halted: AtomicBool::new(false),
         })
     }
 
@@ -186,6 +191,11 @@
         (*cores.distribution.counters(), *cores.membership.counters())
     }
 
+    /// Ends all activity at once: later inputs and messages have no effect.
+    pub fn halt(&self) {
+        self.halted.store(true, Ordering::SeqCst);
+    }
+
     /// Passes an input to the membership core.
     pub fn membership(self: &Arc<Self>, input: membership::Input) {
         self.feed([CoreInput::Membership(input)]);
@@ -239,6 +249,9 @@
     /// Passes inputs to the cores and collects what is to be sent and done.
     fn handle(&self, inputs: impl IntoIterator<Item = CoreInput>) -> Outbox {
         let mut outbox = Outbox::default();
+        if self.halted.load(Ordering::SeqCst) {
+            return outbox;
+        }
         let mut applied = None;
         {
             let mut cores = self.lock();
--- a/crates/shallottackd/src/mesh/store.rs
+++ b/crates/shallottackd/src/mesh/store.rs
@@ -254,6 +254,32 @@
         Ok(None)
     }
 
+    /// Rebuilds every version since the oldest snapshot whose deltas are retained, oldest first.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] when the platform does not answer or an object is missing or torn.
+    pub async fn history(&self) -> Result<Vec<Catalog>, StoreError> {
+        let Some(read) = self.read_head().await? else { return Ok(Vec::new()) };
+        let oldest = read.head.older.last().copied();
+        let mut catalog = match oldest {
+            Some(seq) => {
+                let name = snapshot_object(seq);
+                decode::<Catalog>(&name, &self.get(&name).await?)?
+            }
+            None => Catalog::default(),
+        };
+        let mut versions = Vec::new();
+        for row in self.read_changes(catalog.version.seq, read.head.version.seq).await? {
+            let delta: Delta = decode(&row.object, &self.get(&row.object).await?)?;
+            catalog = catalog
+                .apply(&delta)
+                .map_err(|error| StoreError::Missing(format!("`{}`: {error}", row.object)))?;
+            versions.push(catalog.clone());
+        }
+        Ok(versions)
+    }
+
     /// Writes a snapshot of `catalog` when one is due, and removes what is no longer retained.
     ///
     /// # Errors
--- a/crates/shallottackd/src/settings.rs
+++ b/crates/shallottackd/src/settings.rs
@@ -79,8 +79,8 @@
     Memory {},
     /// A service over HTTP.
     Http {
-        /// Address of the service.
-        address: SocketAddr,
+        /// Addresses of the service; the next one is tried when one can't be reached.
+        addresses: Vec<SocketAddr>,
         /// Bearer token of the service.
         token: String,
     },
@@ -237,6 +237,11 @@
                 problems.push(format!("{key}: expected 1 to 65536"));
             }
         }
+        if let PlatformSettings::Http { addresses, .. } = &self.platform
+            && addresses.is_empty()
+        {
+            problems.push("platform.http.addresses: expected at least one address".to_owned());
+        }
         if self.embedded.as_ref().is_some_and(|it| !(1..=1_024).contains(&it.slots)) {
             problems.push("embedded.slots: expected 1 to 1024".to_owned());
         }
