Add the platform stand-in over HTTP

Cause: the daemon and its tests need a platform in another process that fails the way the real one does.

Change: `PlatformServer` serves `MemoryPlatform` with a bearer token, outages of three kinds, delay, lost responses, conflicts, torn objects, rate limits and counts, as a library and as the example `platform`. The listener can give a handler its connection (`Wire`), so that a response can be lost or cut.

Ruled out: the faults of `MemoryPlatform` itself, which can't lose a response on the wire and report a lost object write as unavailable.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -11,7 +11,7 @@
 
 use async_h1::server::{ConnectionStatus, Encoder, Server};
 use async_std::net::TcpStream;
-use futures_lite::{AsyncReadExt, future, io};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future, io};
 use tide::http::{
     Body, Error, Method, Request, Response, StatusCode,
     headers::{CONNECTION, CONTENT_TYPE, TRANSFER_ENCODING},
@@ -43,6 +43,26 @@
     Writing,
 }
 
+/// Direct access of a handler to its connection, for stand-ins that answer wrongly on purpose.
+#[derive(Debug, Clone)]
+pub struct Wire(TcpStream);
+
+impl Wire {
+    /// Writes bytes to the client ahead of the handler's response.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    pub async fn write(&self, bytes: &[u8]) -> io::Result<()> {
+        (&self.0).write_all(bytes).await
+    }
+
+    /// Closes the connection, so that the client gets no further byte.
+    pub fn close(&self) {
+        self.0.shutdown(Shutdown::Both).ok();
+    }
+}
+
 /// State of one connection.
 pub(crate) struct Connection {
     shared: Arc<Shared>,
@@ -200,6 +220,9 @@
         return Ok(refusal(StatusCode::PayloadTooLarge));
     }
     request.set_peer_addr(Some(connection.peer));
+    if connection.shared.limits.wire {
+        request.ext_mut().insert(Wire(connection.tcp.clone()));
+    }
     connection.enter(Phase::Running);
     connection.shared.counters.requests.fetch_add(1, Relaxed);
     let mut response: Response = respond(connection, app, request).await?;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,6 +9,7 @@
 mod serve;
 mod stream;
 
+pub use connection::Wire;
 pub use error::Error;
 pub use exchange::Answer;
 pub use pool::{Pool, PoolCounts, PoolSettings};
--- a/crates/http/src/serve.rs
+++ b/crates/http/src/serve.rs
@@ -45,6 +45,8 @@
     /// Whether a request is cancelled (its handler dropped) when the client closes the connection.
     /// This includes a client that only shuts down its sending side.
     pub cancel: bool,
+    /// Whether each request carries a [`Wire`](crate::Wire) as an extension.
+    pub wire: bool,
 }
 
 impl Default for Limits {
@@ -57,6 +59,7 @@
             idle: Duration::from_secs(60),
             linger: Duration::from_millis(100),
             cancel: true,
+            wire: false,
         }
     }
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,10 @@
 //! Stand-ins for backend servers and the platform, for tests and measurements.
+//!
+//! Both run inside a process or as a process of their own (`examples/`). `docs/standins.md` lists
+//! their options, paths and headers.
+
+mod call;
+pub mod platform;
+
+pub use call::fetch_json;
+pub use platform::{PlatformServer, PlatformSettings};
