Add the backend server stand-in

Cause: routing, admission, claims and moves need backend servers that fail, drain, shed and mislead on request, and a count of runs that the mesh can't influence.

Change: `Backend` with slots, bounded queue, three service time distributions, cold start, connection limit, shedding, deadlines, cancellation, a ledger of runs per `Idempotency-Key`, health and load that lag or mislead, faults by share of calls, freeze, crash and drain, and announcement to the daemon beside it; as a library and as the example `backend`.

Ruled out: a separate control port, since a test would have to learn two addresses; control paths answer during a freeze instead.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,8 +3,10 @@
 //! Both run inside a process or as a process of their own (`examples/`). `docs/standins.md` lists
 //! their options, paths and headers.
 
+pub mod backend;
 mod call;
 pub mod platform;
 
+pub use backend::{Backend, BackendSettings};
 pub use call::fetch_json;
 pub use platform::{PlatformServer, PlatformSettings};
