Close a connection whose client pipelines

Cause: async-h1's server drops what it read beyond a request, so that a pipelined request was never answered while its connection stayed open.

Change: the response before it carries `Connection: close`, which tells the client that further requests were not run. The scan for the end of a head is shared by both sides.

Ruled out: serving pipelined requests, since the bytes are lost inside async-h1.

Conclusion: no request on a kept connection stays without an answer or a close.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -21,7 +21,7 @@
     RUN_HEADER,
     exchange::{Peek, peek_now},
     serve::Shared,
-    stream::{Observer, Stream},
+    stream::{HeadScan, Observer, Stream},
 };
 
 /// Longest request head that async-h1 accepts, in bytes.
@@ -73,7 +73,8 @@
     phase: AtomicU8,
     /// Start of the phase in microseconds after the origin of the listener.
     since: AtomicU64,
-    head_bytes: AtomicU64,
+    /// Bytes of the current request.
+    received: HeadScan,
 }
 
 impl Connection {
@@ -84,8 +85,8 @@
         refuse: bool,
     ) -> Connection {
         let since = AtomicU64::new(micros_since(shared.origin));
-        let (phase, head_bytes) = (AtomicU8::new(Phase::Idle as u8), AtomicU64::new(0));
-        Connection { shared, tcp, peer, refuse, phase, since, head_bytes }
+        let phase = AtomicU8::new(Phase::Idle as u8);
+        Connection { shared, tcp, peer, refuse, phase, since, received: HeadScan::default() }
     }
 
     fn phase(&self) -> Phase {
@@ -142,14 +143,11 @@
 impl Observer for Connection {
     fn read(&self, bytes: &[u8]) {
         self.shared.counters.bytes_in.fetch_add(bytes.len() as u64, Relaxed);
-        match self.phase() {
-            Phase::Idle => {
-                self.enter(Phase::Head);
-                self.head_bytes.store(bytes.len() as u64, Relaxed);
-            }
-            Phase::Head => drop(self.head_bytes.fetch_add(bytes.len() as u64, Relaxed)),
-            Phase::Body | Phase::Running | Phase::Writing => {}
+        if self.phase() == Phase::Idle {
+            self.received.reset();
+            self.enter(Phase::Head);
         }
+        self.received.feed(bytes);
     }
 
     fn written(&self, count: usize) {
@@ -179,7 +177,7 @@
 async fn reject_head(connection: &Arc<Connection>) {
     connection.shared.counters.rejected.fetch_add(1, Relaxed);
     connection.enter(Phase::Writing);
-    let too_long = connection.head_bytes.load(Relaxed) >= HEAD_BYTES;
+    let too_long = connection.received.received() >= HEAD_BYTES;
     let status =
         if too_long { StatusCode::RequestHeaderFieldsTooLarge } else { StatusCode::BadRequest };
     let mut encoder = Encoder::new(refusal(status), Method::Get);
@@ -214,6 +212,11 @@
         response.insert_header("retry-after", "1");
         return Ok(response);
     }
+    // async-h1 drops what it read beyond the request. The close tells a client that pipelines that
+    // its further requests were not run.
+    let declared = request.len();
+    let pipelined =
+        move || declared.is_some_and(|len| connection.received.after_head() > len as u64);
     if !receive_body(&mut request, connection.shared.limits.body_bytes).await? {
         connection.shared.counters.rejected.fetch_add(1, Relaxed);
         connection.enter(Phase::Writing);
@@ -227,7 +230,7 @@
     connection.shared.counters.requests.fetch_add(1, Relaxed);
     let mut response: Response = respond(connection, app, request).await?;
     connection.enter(Phase::Writing);
-    if connection.stopping() {
+    if connection.stopping() || pipelined() {
         response.insert_header(CONNECTION, "close");
     }
     Ok(response)
--- a/crates/http/src/exchange.rs
+++ b/crates/http/src/exchange.rs
@@ -5,7 +5,7 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering::Relaxed},
+        atomic::{AtomicBool, AtomicU64, Ordering::Relaxed},
     },
     task::Poll,
 };
@@ -21,7 +21,7 @@
 
 use crate::{
     Error,
-    stream::{Observer, Stream},
+    stream::{HeadScan, Observer, Stream},
 };
 
 /// Size of one read of a response body in bytes.
@@ -68,11 +68,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Progress {
     sent: AtomicU64,
-    received: AtomicU64,
-    /// Length of the response head in bytes; zero until its end was seen.
-    head: AtomicU64,
-    /// Last four bytes received.
-    tail: AtomicU32,
+    response: HeadScan,
     ended: AtomicBool,
 }
 
@@ -82,33 +78,13 @@
     }
 
     pub(crate) fn received(&self) -> u64 {
-        self.received.load(Relaxed)
-    }
-
-    /// Returns the number of bytes received after the head.
-    fn after_head(&self) -> u64 {
-        self.received() - self.head.load(Relaxed)
+        self.response.received()
     }
 }
 
 impl Observer for Progress {
     fn read(&self, bytes: &[u8]) {
-        let before = self.received.fetch_add(bytes.len() as u64, Relaxed);
-        if self.head.load(Relaxed) > 0 {
-            return;
-        }
-        let mut tail = self.tail.load(Relaxed);
-        for (index, byte) in bytes.iter().enumerate() {
-            tail = tail << 8 | u32::from(*byte);
-            // The two forms of a blank line that async-h1 accepts as the end of a head.
-            if tail == u32::from_be_bytes(*b"\r\n\r\n")
-                || tail as u16 == u16::from_be_bytes(*b"\n\n")
-            {
-                self.head.store(before + index as u64 + 1, Relaxed);
-                return;
-            }
-        }
-        self.tail.store(tail, Relaxed);
+        self.response.feed(bytes);
     }
 
     fn written(&self, count: usize) {
@@ -227,11 +203,10 @@
         // The decoder of chunked bodies refuses bytes after the trailers itself.
         Framing::Chunked => return Ok(()),
     };
-    if body.len() != expected || progress.after_head() != expected as u64 {
-        return Err(Error::Broken(format!(
-            "{} bytes after a head that announces {expected}",
-            progress.after_head()
-        )));
+    let received = progress.response.after_head();
+    if body.len() != expected || received != expected as u64 {
+        let detail = format!("{received} bytes after a head that announces {expected}");
+        return Err(Error::Broken(detail));
     }
     Ok(())
 }
--- a/crates/http/src/stream.rs
+++ b/crates/http/src/stream.rs
@@ -3,7 +3,10 @@
 use std::{
     io,
     pin::Pin,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, AtomicU64, Ordering::Relaxed},
+    },
     task::{Context, Poll, ready},
 };
 
@@ -23,6 +26,54 @@
     fn ended(&self) {}
 }
 
+/// Counts the bytes of one message and finds the end of its head.
+#[derive(Debug, Default)]
+pub(crate) struct HeadScan {
+    received: AtomicU64,
+    /// Length of the head in bytes; zero until its end was seen.
+    head: AtomicU64,
+    /// Last four bytes received.
+    tail: AtomicU32,
+}
+
+impl HeadScan {
+    /// Starts with the next message.
+    pub(crate) fn reset(&self) {
+        self.received.store(0, Relaxed);
+        self.head.store(0, Relaxed);
+        self.tail.store(0, Relaxed);
+    }
+
+    /// Returns the number of bytes of the message so far.
+    pub(crate) fn received(&self) -> u64 {
+        self.received.load(Relaxed)
+    }
+
+    /// Returns the number of bytes received after the head.
+    pub(crate) fn after_head(&self) -> u64 {
+        self.received() - self.head.load(Relaxed)
+    }
+
+    /// Takes note of further bytes.
+    pub(crate) fn feed(&self, bytes: &[u8]) {
+        let before = self.received.fetch_add(bytes.len() as u64, Relaxed);
+        if self.head.load(Relaxed) > 0 {
+            return;
+        }
+        let mut tail = self.tail.load(Relaxed);
+        for (index, byte) in bytes.iter().enumerate() {
+            tail = tail << 8 | u32::from(*byte);
+            // The two forms of a blank line that end a head for async-h1 or httparse.
+            let crlf = tail == u32::from_be_bytes(*b"\r\n\r\n");
+            if crlf || tail as u16 == u16::from_be_bytes(*b"\n\n") {
+                self.head.store(before + index as u64 + 1, Relaxed);
+                return;
+            }
+        }
+        self.tail.store(tail, Relaxed);
+    }
+}
+
 /// Stream whose observer sees all bytes.
 ///
 /// Writes are held back until the flush that async-h1 issues after each message, so that head and
--- a/crates/http/tests/suite/server.rs
+++ b/crates/http/tests/suite/server.rs
@@ -119,6 +119,21 @@
     });
 }
 
+/// A pipelined request that was read along with the one before it must not be left unanswered on an
+/// open connection.
+#[test]
+fn a_pipelined_request_is_not_run_and_the_connection_closes() {
+    task::block_on(async {
+        let held = start(Limits::default()).await;
+        let one = "POST /fast HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nab";
+        let mut stream = raw(&held, one.repeat(2).as_bytes()).await;
+        let answers = read_to_close(&mut stream).await;
+        assert!(answers.contains("connection: close") && answers.ends_with("fast"), "{answers}");
+        assert_eq!(answers.matches("HTTP/1.1 200").count(), 1);
+        assert_eq!(held.serving.traffic().requests, 1);
+    });
+}
+
 #[test]
 fn malformed_and_oversized_requests_get_their_status() {
     task::block_on(async {
