--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -11,7 +11,7 @@
 
 use async_h1::server::{ConnectionStatus, Encoder, Server};
 use async_std::net::TcpStream;
-use futures_lite::{AsyncReadExt, future, io};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future, io};
 use tide::http::{
     Body, Error, Method, Request, Response, StatusCode,
     headers::{CONNECTION, CONTENT_TYPE, TRANSFER_ENCODING},
@@ -21,7 +21,7 @@
     RUN_HEADER,
     exchange::{Peek, peek_now},
     serve::Shared,
-    stream::{Observer, Stream},
+    stream::{HeadScan, Observer, Stream},
 };
 
 /// Longest request head that async-h1 accepts, in bytes.
@@ -43,6 +43,26 @@
     Writing,
 }
 
+/// Direct access of a handler to its connection, for stand-ins that answer wrongly on purpose.
+#[derive(Debug, Clone)]
+pub struct Wire(TcpStream);
+
+impl Wire {
+    /// Writes bytes to the client ahead of the handler's response.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    pub async fn write(&self, bytes: &[u8]) -> io::Result<()> {
+        (&self.0).write_all(bytes).await
+    }
+
+    /// Closes the connection, so that the client gets no further byte.
+    pub fn close(&self) {
+        self.0.shutdown(Shutdown::Both).ok();
+    }
+}
+
 /// State of one connection.
 pub(crate) struct Connection {
     shared: Arc<Shared>,
@@ -53,7 +73,8 @@
     phase: AtomicU8,
     /// Start of the phase in microseconds after the origin of the listener.
     since: AtomicU64,
-    head_bytes: AtomicU64,
+    /// Bytes of the current request.
+    received: HeadScan,
 }
 
 impl Connection {
@@ -64,8 +85,8 @@
         refuse: bool,
     ) -> Connection {
         let since = AtomicU64::new(micros_since(shared.origin));
-        let (phase, head_bytes) = (AtomicU8::new(Phase::Idle as u8), AtomicU64::new(0));
-        Connection { shared, tcp, peer, refuse, phase, since, head_bytes }
+        let phase = AtomicU8::new(Phase::Idle as u8);
+        Connection { shared, tcp, peer, refuse, phase, since, received: HeadScan::default() }
     }
 
     fn phase(&self) -> Phase {
@@ -122,14 +143,11 @@
 impl Observer for Connection {
     fn read(&self, bytes: &[u8]) {
         self.shared.counters.bytes_in.fetch_add(bytes.len() as u64, Relaxed);
-        match self.phase() {
-            Phase::Idle => {
-                self.enter(Phase::Head);
-                self.head_bytes.store(bytes.len() as u64, Relaxed);
-            }
-            Phase::Head => drop(self.head_bytes.fetch_add(bytes.len() as u64, Relaxed)),
-            Phase::Body | Phase::Running | Phase::Writing => {}
+        if self.phase() == Phase::Idle {
+            self.received.reset();
+            self.enter(Phase::Head);
         }
+        self.received.feed(bytes);
     }
 
     fn written(&self, count: usize) {
@@ -159,7 +177,7 @@
 async fn reject_head(connection: &Arc<Connection>) {
     connection.shared.counters.rejected.fetch_add(1, Relaxed);
     connection.enter(Phase::Writing);
-    let too_long = connection.head_bytes.load(Relaxed) >= HEAD_BYTES;
+    let too_long = connection.received.received() >= HEAD_BYTES;
     let status =
         if too_long { StatusCode::RequestHeaderFieldsTooLarge } else { StatusCode::BadRequest };
     let mut encoder = Encoder::new(refusal(status), Method::Get);
@@ -194,17 +212,25 @@
         response.insert_header("retry-after", "1");
         return Ok(response);
     }
+    // async-h1 drops what it read beyond the request. The close tells a client that pipelines that
+    // its further requests were not run.
+    let declared = request.len();
+    let pipelined =
+        move || declared.is_some_and(|len| connection.received.after_head() > len as u64);
     if !receive_body(&mut request, connection.shared.limits.body_bytes).await? {
         connection.shared.counters.rejected.fetch_add(1, Relaxed);
         connection.enter(Phase::Writing);
         return Ok(refusal(StatusCode::PayloadTooLarge));
     }
     request.set_peer_addr(Some(connection.peer));
+    if connection.shared.limits.wire {
+        request.ext_mut().insert(Wire(connection.tcp.clone()));
+    }
     connection.enter(Phase::Running);
     connection.shared.counters.requests.fetch_add(1, Relaxed);
     let mut response: Response = respond(connection, app, request).await?;
     connection.enter(Phase::Writing);
-    if connection.stopping() {
+    if connection.stopping() || pipelined() {
         response.insert_header(CONNECTION, "close");
     }
     Ok(response)
