Check racing commits against lost, late and repeated answers

Cause: the commit decisions must hold in every order of events, and tests by hand cover a few orders only.

Change: a breadth-first search over all states of two operators whose daemons run the real `Commit`, with disjoint, overlapping and dependent changes. Answers of the table are lost, its transactions are late or repeated, and daemons stop at any step, after which the operator repeats the change with the same id.

Ruled out: full states as search keys, replaced by 128-bit digests of them for speed; a collision would hide a state and is improbable at these numbers.

--- a/crates/config/src/commit.rs
+++ b/crates/config/src/commit.rs
@@ -69,8 +69,9 @@
     /// Whether to check the change only.
     pub dry_run: bool,
     /// Whether an earlier request with the same id ended with its outcome unknown to the operator.
-    /// Such a request may still take effect, so this one is never answered as not applied only
-    /// because the platform is down.
+    /// A transaction of such a request may still take effect, so this one is never answered as not
+    /// applied only because the platform is down. A daemon drops the commit of an operator whose
+    /// connection has ended, so that no earlier request makes further attempts meanwhile.
     pub repeat: bool,
 }
 
--- a/crates/config/tests/suite/main.rs
+++ b/crates/config/tests/suite/main.rs
@@ -2,6 +2,8 @@
 
 mod commit;
 mod file;
+mod model;
 mod properties;
+mod search;
 mod snapshot;
 mod world;
