Run whole deployments as separate processes

Cause: the main job on real input, both deployments at today's sizes, had not run with a process for each daemon, backend server and the platform.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! Measurements of the system.
 
+pub mod cluster;
 pub mod fleet;
 pub mod process;
 pub mod report;
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -16,9 +16,14 @@
     Duration::from_millis((ticks(12) + ticks(13)) * 1_000 / TICKS_PER_S)
 }
 
-/// Returns the resident memory in bytes.
+/// Returns the resident memory of this process in bytes.
 pub fn resident_bytes() -> u64 {
-    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    resident_bytes_of("self")
+}
+
+/// Returns the resident memory of a process in bytes.
+pub(crate) fn resident_bytes_of(process: &str) -> u64 {
+    let statm = std::fs::read_to_string(format!("/proc/{process}/statm")).unwrap_or_default();
     let pages = statm.split(' ').nth(1).and_then(|it| it.parse::<u64>().ok());
     pages.unwrap_or(0) * PAGE_BYTES
 }
