Count only served connections against the limit

Cause: a connection that waits for its refusal counted as open. A flood of refused connections could therefore keep the listener from serving any, and an idle one held up a graceful stop for the head timeout.

Change: the limit counts served connections only; during a stop refused connections close after the linger time like others.

Ruled out: closing connections over the limit without a response, which would leave the outcome of their request unknown to the client.

The new test fails with the former count (trial change).

Conclusion: the limit bounds work without starving accepted clients.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -89,6 +89,11 @@
         Connection { shared, tcp, peer, refuse, phase, since, received: HeadScan::default() }
     }
 
+    /// Returns whether the connection is over the limit and only gets a refusal.
+    pub(crate) fn refused(&self) -> bool {
+        self.refuse
+    }
+
     fn phase(&self) -> Phase {
         match self.phase.load(Relaxed) {
             0 => Phase::Idle,
@@ -121,7 +126,7 @@
             micros_since(self.shared.origin).saturating_sub(self.since.load(Relaxed)),
         );
         let expired = match self.phase() {
-            Phase::Idle if self.refuse => age > limits.head,
+            Phase::Idle if self.refuse && stopping.is_none() => age > limits.head,
             Phase::Idle => match stopping {
                 Some(began) => age.min(began.elapsed()) >= limits.linger,
                 None => age > limits.idle,
--- a/crates/http/src/serve.rs
+++ b/crates/http/src/serve.rs
@@ -273,7 +273,8 @@
     }
     // Held until the entry is in place, so that a task that ends at once still removes it.
     let mut connections = shared.lock();
-    let refuse = connections.len() >= shared.limits.connections;
+    let served = connections.values().filter(|entry| !entry.connection.refused());
+    let refuse = served.count() >= shared.limits.connections;
     if refuse {
         shared.counters.refused.fetch_add(1, Relaxed);
         if connections.len() >= shared.limits.connections.saturating_mul(2) {
--- a/crates/http/tests/suite/server.rs
+++ b/crates/http/tests/suite/server.rs
@@ -90,6 +90,23 @@
     });
 }
 
+/// Connections that wait for their refusal must not take the place of served ones.
+#[test]
+fn refused_connections_do_not_count_against_the_limit() {
+    task::block_on(async {
+        let held = start(Limits { connections: 1, ..Limits::default() }).await;
+        let address = held.serving.address();
+        let first = raw(&held, b"").await;
+        eventually(|| held.serving.traffic().open == 1).await;
+        let _refused = raw(&held, b"").await;
+        eventually(|| held.serving.traffic().refused == 1).await;
+        drop(first);
+        eventually(|| held.serving.traffic().open == 1).await;
+        let answer = pool().send(address, get(address, "/fast"), PATIENCE).await.unwrap();
+        assert_eq!(answer.body, b"fast");
+    });
+}
+
 /// Slow clients must not hold connections for ever.
 #[test]
 fn slow_heads_and_bodies_are_cut_off() {
