--- a/crates/standins/src/backend/slots.rs
+++ b/crates/standins/src/backend/slots.rs
@@ -14,6 +14,9 @@
 /// Time for which samples are kept; it bounds the lag of the load endpoint.
 const HISTORY: Duration = Duration::from_secs(60);
 
+/// Shortest distance of two samples, which bounds the memory of the history to some 200 KB.
+const RESOLUTION: Duration = Duration::from_millis(10);
+
 /// Busy slots and waiting calls at a moment.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Sample {
@@ -91,6 +94,10 @@
     fn record(&self) {
         let sample = self.current(Instant::now());
         let mut history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(last) = history.back_mut().filter(|last| sample.at - last.at < RESOLUTION) {
+            *last = Sample { at: last.at, ..sample };
+            return;
+        }
         // The newest sample beyond the limit still tells the state at the limit.
         while history.get(1).is_some_and(|second| sample.at.duration_since(second.at) > HISTORY) {
             history.pop_front();
--- a/crates/standins/tests/suite/ending.rs
+++ b/crates/standins/tests/suite/ending.rs
@@ -136,6 +136,20 @@
     });
 }
 
+/// A daemon that lost its state must hear of its backend server again.
+#[test]
+fn announcements_are_repeated_at_their_interval() {
+    task::block_on(async {
+        let daemon = Daemon::start().await;
+        let reannounce = Some(Duration::from_millis(5));
+        let announce = Some(daemon.serving.address());
+        let (backend, _) = start(BackendSettings { announce, reannounce, ..settings() }).await;
+        for _ in 0..4 {
+            assert_eq!(daemon.announced.recv().await.unwrap().address, backend.address());
+        }
+    });
+}
+
 /// A crash must close everything at once, without leave.
 #[test]
 fn a_crash_closes_connections_in_use() {
