Check claims of two daemons against lost, late and repeated answers

Cause: a key must run at most once and "not run" must be true in every order of lost answers, late transactions, repeats and stops of daemons.

The search now drops a state once its next states are known.

Batches of several keys are not part of the model.

--- a/crates/claims/tests/suite/claims.rs
+++ b/crates/claims/tests/suite/claims.rs
@@ -182,3 +182,30 @@
     assert_eq!(refused(&daemon.settle(&mut table, actions)), ErrorKind::PlatformDown);
     assert_eq!(table.row(KEY).unwrap().state, State::Released);
 }
+
+/// Guards against the release of a late claim undoing the claim that another daemon made meanwhile.
+#[test]
+fn release_leaves_the_claim_of_another_daemon() {
+    let mut table = Table::default();
+    let mut daemon = Daemon::new(1);
+    let (batch, _) = committed(&daemon.arrive(1, "k1"));
+    daemon.handle(Input::Batch { batch, outcome: BatchOutcome::Unknown });
+    daemon.now = daemon.now + Duration::from_millis(600);
+    assert_eq!(repeat(&mut table, Duration::ZERO), [run(9)]);
+    let actions = row(&mut daemon, ReadOutcome::Absent);
+    let [refusal, release] = &actions[..] else { panic!("{actions:?}") };
+    assert_eq!(refused(std::slice::from_ref(refusal)), ErrorKind::PlatformDown);
+    assert!(daemon.settle(&mut table, [release.clone()].into_iter().collect()).is_empty());
+    assert_eq!(table.row(KEY).unwrap().state, State::Running);
+    assert_eq!(daemon.claims.open(), 0);
+}
+
+/// Guards against a restarted daemon taking a claim of its earlier start for its own.
+#[test]
+fn restarted_daemon_does_not_run_its_earlier_claim() {
+    let mut table = Table::default();
+    drop(started(&mut table));
+    let mut daemon = Daemon::new(3);
+    let actions = daemon.arrive(1, "k1");
+    assert_eq!(refused(&daemon.settle(&mut table, actions)), ErrorKind::KeyInProgress);
+}
--- a/crates/config/tests/suite/search.rs
+++ b/crates/config/tests/suite/search.rs
@@ -1,6 +1,7 @@
 //! Breadth-first search over the states of a model.
 
 use std::{
+    cell::RefCell,
     hash::{Hash, Hasher},
     rc::Rc,
 };
@@ -24,14 +25,31 @@
 struct Node<M> {
     key: u128,
     depth: usize,
-    model: Rc<M>,
+    broken: Option<&'static str>,
+    /// The state, until its next states are known; the search keeps only the digest of older ones.
+    model: Rc<RefCell<Option<M>>>,
     last: Option<Rc<Event>>,
 }
 
+impl<M: Model> Node<M> {
+    fn new(model: M, depth: usize, last: Option<Rc<Event>>) -> Node<M> {
+        let (key, broken) = (model.key(), model.broken());
+        Node { key, depth, broken, model: Rc::new(RefCell::new(Some(model))), last }
+    }
+
+    fn next(&self) -> Vec<Node<M>> {
+        let next = self.model.take().map(|model| model.next()).unwrap_or_default();
+        let node = |(label, model)| {
+            let last = Some(Rc::new(Event { label, before: self.last.clone() }));
+            Node::new(model, self.depth + 1, last)
+        };
+        next.into_iter().map(node).collect()
+    }
+}
+
 impl<M> Clone for Node<M> {
     fn clone(&self) -> Self {
-        let (model, last) = (self.model.clone(), self.last.clone());
-        Node { key: self.key, depth: self.depth, model, last }
+        Node { model: self.model.clone(), last: self.last.clone(), ..*self }
     }
 }
 
@@ -52,21 +70,11 @@
 /// Searches all states from `start`. Prints their number and depth, and returns the first broken
 /// invariant with the shortest sequence of events that breaks it.
 pub fn search<M: Model>(name: &str, start: M) -> Option<String> {
-    let root = Node { key: start.key(), depth: 0, model: Rc::new(start), last: None };
     let (mut states, mut depth) = (0, 0);
-    let reach = bfs_reach(root, |node: &Node<M>| {
-        let (depth, before) = (node.depth + 1, node.last.clone());
-        let next = node.model.next().into_iter();
-        let nodes = next.map(move |(label, model)| {
-            let last = Some(Rc::new(Event { label, before: before.clone() }));
-            Node { key: model.key(), depth, model: Rc::new(model), last }
-        });
-        nodes.collect::<Vec<_>>()
-    });
-    for node in reach {
+    for node in bfs_reach(Node::new(start, 0, None), Node::next) {
         states += 1;
         depth = node.depth;
-        if let Some(invariant) = node.model.broken() {
+        if let Some(invariant) = node.broken {
             println!("{name}: {invariant} after {states} states, depth {depth}");
             return Some(format!("{}\n=> {invariant}", trace(node.last.as_ref())));
         }
