--- a/crates/bench/examples/deployment.rs
+++ b/crates/bench/examples/deployment.rs
@@ -60,10 +60,9 @@
         Cluster::start(description, dir.to_owned()).await.map_err(|error| text(&error))?;
     eprintln!("{} endpoints started after {:?}", cluster.endpoints.len(), started.elapsed());
     let configuration = cluster.description().configuration.display().to_string();
-    let applied = cluster
-        .operate(0, &["--json", "apply", &configuration, "--wait"])
-        .map_err(|error| text(&error))?;
-    eprintln!("applied after {:?}: {}", started.elapsed(), applied.trim().replace('\n', " "));
+    let applied =
+        cluster.operate(0, &["apply", &configuration, "--wait"]).map_err(|error| text(&error))?;
+    eprintln!("applied after {:?}:\n{applied}", started.elapsed());
     wait_ready(&cluster).await?;
     eprintln!("all endpoints ready after {:?}", started.elapsed());
 
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod cluster;
 pub mod fleet;
+pub mod load;
 pub mod process;
 pub mod report;
--- a/crates/shallottackd/src/calls/announce.rs
+++ b/crates/shallottackd/src/calls/announce.rs
@@ -1,6 +1,10 @@
 //! Announcements of the backend server on the same VM.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, PoisonError},
+    time::Duration,
+};
 
 use serde::Deserialize;
 use serde_with::{DurationMilliSeconds, serde_as};
@@ -15,9 +19,9 @@
 
 /// What a backend server states when it announces itself.
 #[serde_as]
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
-struct Announcement {
+pub(super) struct Announcement {
     service: ServiceName,
     group: GroupName,
     address: SocketAddr,
@@ -41,18 +45,33 @@
                 .retry_after(Duration::from_secs(1));
             return answer::failure_response(&failure);
         }
-        self.backend.announce(announcement.address, announcement.slots);
+        if !self.take_announcement(&announcement) {
+            return Response::new(StatusCode::NoContent);
+        }
         self.mesh.membership(membership::Input::Announce(membership::Announcement {
             service: announcement.service,
             group: announcement.group,
             slots: announcement.slots,
             cold_start: announcement.cold_start,
         }));
+        // After the membership core, which would take an earlier success for one of the last life.
+        self.backend.announce(announcement.address, announcement.slots);
         Response::new(StatusCode::NoContent)
     }
 
+    /// Records an announcement; returns whether it is news. Backend servers repeat their
+    /// announcement, so that a restarted daemon hears of them; a repeat must not start the cold
+    /// start again.
+    fn take_announcement(&self, announcement: &Announcement) -> bool {
+        let mut last = self.announced.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = last.as_ref() == Some(announcement) && self.backend.reachable();
+        *last = Some(announcement.clone());
+        !known
+    }
+
     /// Takes the backend server out of service; requests in flight go on.
     pub(crate) async fn leave(self: Arc<Self>) -> Response {
+        self.backend.left();
         self.mesh.membership(membership::Input::Leave { callers: Vec::new() });
         Response::new(StatusCode::NoContent)
     }
--- a/crates/shallottackd/src/calls/backend.rs
+++ b/crates/shallottackd/src/calls/backend.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -36,6 +36,13 @@
 /// Whether a queued call may start.
 type Decision = Result<(), Refusal>;
 
+/// The backend server announced itself and nothing was tried since.
+const ANNOUNCED: u8 = 0;
+/// It answered.
+const ANSWERED: u8 = 1;
+/// A connection failed, it left, or it never announced itself.
+const FAILED: u8 = 2;
+
 struct State {
     admission: Admission,
     waiting: HashMap<CallId, Sender<Decision>>,
@@ -50,8 +57,8 @@
     pool: Pool,
     next_call: AtomicU64,
     stopping: AtomicBool,
-    /// Whether the backend server has answered since its last announcement or failed connection.
-    answered: AtomicBool,
+    /// What was last heard of the backend server: [`ANNOUNCED`], [`ANSWERED`] or [`FAILED`].
+    server: AtomicU8,
     wake: Sender<()>,
     woken: Receiver<()>,
 }
@@ -75,7 +82,7 @@
             pool: Pool::new(pool),
             next_call: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
-            answered: AtomicBool::new(false),
+            server: AtomicU8::new(FAILED),
             wake,
             woken,
         })
@@ -85,10 +92,21 @@
     pub fn announce(self: &Arc<Self>, address: SocketAddr, slots: u32) {
         self.lock().admission.set_slots(slots);
         self.address.store(Some(Arc::new(address)));
-        self.answered.store(false, Ordering::SeqCst);
+        self.server.store(ANNOUNCED, Ordering::SeqCst);
         async_std::task::spawn(Arc::clone(self).probe(address, slots));
     }
 
+    /// Returns whether the backend server has announced itself and no connection to it has failed
+    /// since.
+    pub(crate) fn reachable(&self) -> bool {
+        self.server.load(Ordering::SeqCst) != FAILED
+    }
+
+    /// Takes the leave of the backend server; its next announcement is news.
+    pub(crate) fn left(&self) {
+        self.server.store(FAILED, Ordering::SeqCst);
+    }
+
     /// Opens connections ahead of the first calls, which is also the probe that the membership
     /// core waits for.
     async fn probe(self: Arc<Self>, address: SocketAddr, slots: u32) {
@@ -106,7 +124,10 @@
     /// Tells the membership core of the first success after an announcement or a failed
     /// connection; later ones change nothing.
     fn note_answer(&self) {
-        if !self.answered.swap(true, Ordering::Relaxed) {
+        // Checked first, since a swap on every call would contend between threads.
+        if self.server.load(Ordering::Relaxed) != ANSWERED
+            && self.server.swap(ANSWERED, Ordering::Relaxed) != ANSWERED
+        {
             self.mesh.membership(membership::Input::Succeeded);
         }
     }
@@ -237,7 +258,7 @@
             Ok(answer) => answer,
             Err(error) => {
                 if matches!(error, Error::Unreachable(_)) {
-                    self.answered.store(false, Ordering::Relaxed);
+                    self.server.store(FAILED, Ordering::Relaxed);
                     self.mesh.membership(membership::Input::ConnectFailed);
                 }
                 return (Outcome::Failed, Err(exchange_failure(&error)));
--- a/crates/shallottackd/src/calls/mod.rs
+++ b/crates/shallottackd/src/calls/mod.rs
@@ -43,6 +43,7 @@
     routes: Arc<ArcSwapOption<RouteTable>>,
     pool: Pool,
     next_call: AtomicU64,
+    announced: Mutex<Option<announce::Announcement>>,
     stopping: AtomicBool,
 }
 
@@ -71,6 +72,7 @@
             routes: Arc::clone(&view.routes),
             pool: Pool::new(pool),
             next_call: AtomicU64::new(0),
+            announced: Mutex::new(None),
             stopping: AtomicBool::new(false),
         })
     }
