Check batches of several keys under random faults

Cause: the search of the claims has one key, so that it reaches no batch with several rows and no split after a conflict.

Change: random walks over the same model with four keys, twelve requests and six faults, one transaction at a time so that claims collect. Each walk ends without faults until the daemons have nothing to do, which also shows that they come to rest.

Ruled out: the exhaustive search with two keys, whose states multiply.

--- a/crates/claims/tests/suite/model.rs
+++ b/crates/claims/tests/suite/model.rs
@@ -4,6 +4,7 @@
 
 use std::{hash::Hash, time::Duration};
 
+use proptest::prelude::*;
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
 use shallottack_claims::{
     Action, AttemptId, BatchOutcome, Claims, Input, ReadOutcome, RequestId, RunResult, Settings,
@@ -15,7 +16,7 @@
 
 use crate::{
     search::{Model, search},
-    world::{KEY, Table, answer, arrival, claims},
+    world::{Table, answer, arrival, claims},
 };
 
 /// Mechanism that is taken out.
@@ -61,6 +62,7 @@
     /// Whether the request was started and not proven not run.
     ran: bool,
     answered: bool,
+    key: usize,
 }
 
 #[derive(Debug, Clone)]
@@ -79,6 +81,8 @@
     late: Vec<Transaction>,
     requests: Vec<Request>,
     most: usize,
+    keys: usize,
+    settings: Settings,
     faults: u8,
     /// Whether a daemon stopped, after which a key can stay claimed.
     stopped: bool,
@@ -90,14 +94,13 @@
 /// are due and attempts are over by the third.
 const TIMES_MS: [u64; 3] = [1, 600, 60_000];
 
-fn settings() -> Settings {
-    Settings { interval: Duration::ZERO, ..Settings::default() }
-}
-
 fn mesh(requests: usize, faults: u8) -> Mesh {
+    let settings = Settings { interval: Duration::ZERO, ..Settings::default() };
     Mesh {
         table: Table::default(),
-        daemons: [claims(0, settings()), claims(1, settings())],
+        daemons: [claims(0, settings.clone()), claims(1, settings.clone())],
+        keys: 1,
+        settings,
         starts: 2,
         now: Time::from_millis(TIMES_MS[0]),
         pending: Vec::new(),
@@ -283,7 +286,7 @@
             }
         }
         let nonce = if self.without == Without::Nonce { who as u64 } else { self.starts };
-        next.daemons[who] = claims(nonce, settings());
+        next.daemons[who] = claims(nonce, self.settings.clone());
         next.starts += 1;
         next.stopped = true;
         Some(next)
@@ -311,9 +314,11 @@
             // The daemons are alike, so that the first request may as well arrive at the first.
             if request < self.most && (who == 0 || request > 0) {
                 let mut next = self.clone();
-                next.requests.push(Request { told: Told::Nothing, ran: false, answered: false });
+                let (told, key) = (Told::Nothing, request % self.keys);
+                next.requests.push(Request { told, ran: false, answered: false, key });
                 let deadline = self.now + Duration::from_secs(1);
-                let input = Input::Arrive(arrival(request as u64, "k1", deadline));
+                let name = format!("k{}", key + 1);
+                let input = Input::Arrive(arrival(request as u64, &name, deadline));
                 push(format!("r{request} arrives at d{who}"), next.feed(who, input));
             }
             if let Some(next) = self.restart(who) {
@@ -344,11 +349,18 @@
     }
 
     fn broken(&self) -> Option<&'static str> {
-        let ran = self.requests.iter().filter(|it| it.ran).count();
-        let untrue = self.requests.iter().any(|it| it.ran && it.told == Told::NotRun);
-        let stored = self.requests.iter().any(|it| it.told == Told::Stored);
-        let invented = stored && !self.requests.iter().any(|it| it.answered);
-        let row = self.table.row(KEY);
+        (0..self.keys).find_map(|key| self.broken_of(key))
+    }
+}
+
+impl Mesh {
+    fn broken_of(&self, key: usize) -> Option<&'static str> {
+        let requests: Vec<_> = self.requests.iter().filter(|it| it.key == key).collect();
+        let ran = requests.iter().filter(|it| it.ran).count();
+        let untrue = requests.iter().any(|it| it.ran && it.told == Told::NotRun);
+        let stored = requests.iter().any(|it| it.told == Told::Stored);
+        let invented = stored && !requests.iter().any(|it| it.answered);
+        let row = self.table.row(&format!("claim/order-desk/k{}", key + 1));
         let claimed = row.is_some_and(|row| row.state != State::Released);
         let found = [
             (TWICE, ran > 1),
@@ -359,6 +371,27 @@
         let wanted = |name: &&str| self.only.is_none_or(|only| only == *name);
         found.into_iter().find(|(name, broken)| *broken && wanted(name)).map(|(name, _)| name)
     }
+
+    /// Takes all steps without faults until the daemons have nothing to do.
+    fn drain(mut self) -> Mesh {
+        for _ in 0..1_000 {
+            if self.is_quiet() {
+                return self;
+            }
+            if self.pending.is_empty() {
+                self.now = self.now + Duration::from_secs(60);
+                self = self.feed(0, Input::Tick).feed(1, Input::Tick);
+                continue;
+            }
+            let mut next = None;
+            // The first of the possible ways of a step is the one without a fault.
+            self.steps(0, &mut |_, mesh| {
+                next.get_or_insert(mesh);
+            });
+            self = next.expect("every step can be taken");
+        }
+        panic!("the daemons do not come to rest: {self:?}");
+    }
 }
 
 fn without(mesh: Mesh, without: Without, only: &'static str) -> String {
@@ -437,3 +470,32 @@
     ]);
     insta::assert_snapshot!(without(start, Without::ReleaseCondition, TWICE));
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, ..ProptestConfig::default() })]
+
+    /// Guards against faults of batches with several keys, which the search does not reach, and
+    /// against daemons that never come to rest.
+    #[test]
+    fn batches_of_several_keys_keep_all_invariants(
+        choices in prop::collection::vec(any::<prop::sample::Index>(), 1..120),
+    ) {
+        let mut mesh = Mesh { keys: 4, ..mesh(12, 6) };
+        // One transaction at a time, so that claims collect.
+        mesh.settings.flights = 1;
+        let one = |nonce| claims(nonce, mesh.settings.clone());
+        mesh.daemons = [one(0), one(1)];
+        let mut labels = Vec::new();
+        for choice in choices {
+            let mut next = mesh.next();
+            if next.is_empty() {
+                break;
+            }
+            let (label, state) = next.swap_remove(choice.index(next.len()));
+            labels.push(label);
+            prop_assert_eq!(state.broken(), None, "{:#?}", labels);
+            mesh = state;
+        }
+        prop_assert_eq!(mesh.drain().broken(), None, "{:#?}", labels);
+    }
+}
