--- a/crates/config/src/commit/snapshot.rs
+++ b/crates/config/src/commit/snapshot.rs
@@ -128,7 +128,8 @@
     let kept = snapshots(head);
     // Without a full set of snapshots no delta was removed yet.
     let oldest = if kept.len() == SNAPSHOTS_KEPT { kept.last().copied().unwrap_or(0) } else { 0 };
-    let intact = |seq: u64| seq >= oldest && broken.deltas.range(seq + 1..=to.seq).next().is_none();
+    let last_broken = broken.deltas.range(..=to.seq).next_back().copied().unwrap_or(0);
+    let intact = |seq: u64| seq >= oldest && seq >= last_broken;
     // A version of an earlier epoch may be one that the table has lost.
     let start = held.filter(|held| held.epoch == to.epoch && intact(held.seq));
     if let Some(from) = start.filter(|it| to.seq - it.seq <= SNAPSHOT_INTERVAL) {
--- a/crates/config/src/validate.rs
+++ b/crates/config/src/validate.rs
@@ -127,20 +127,18 @@
 }
 
 /// Two routes with the same prefix and an overlapping method would make the choice depend on
-/// their names.
+/// their names. Each route is reported once, so that the problems are not more than the routes.
 fn check_duplicate_routes(catalog: &Catalog, problems: &mut Vec<Problem>) {
     let mut by_prefix: BTreeMap<&str, Vec<&Route>> = BTreeMap::new();
     for route in catalog.routes.values() {
         by_prefix.entry(&route.prefix).or_default().push(route);
     }
     for routes in by_prefix.values() {
-        for (i, first) in routes.iter().enumerate() {
-            for second in &routes[i + 1..] {
-                if methods_overlap(first, second) {
-                    let resource = Some(ResourceKey::new(Kind::Route, second.name.as_str()));
-                    let detail = format!("same prefix and method as route `{}`", first.name);
-                    problems.push(Problem { resource, detail });
-                }
+        for (i, second) in routes.iter().enumerate() {
+            if let Some(first) = routes[..i].iter().find(|it| methods_overlap(it, second)) {
+                let resource = Some(ResourceKey::new(Kind::Route, second.name.as_str()));
+                let detail = format!("same prefix and method as route `{}`", first.name);
+                problems.push(Problem { resource, detail });
             }
         }
     }
--- a/crates/config/tests/suite/file.rs
+++ b/crates/config/tests/suite/file.rs
@@ -113,3 +113,14 @@
     let read = parse_file(print_file(&catalog).as_bytes()).unwrap();
     assert_eq!(read.routes, catalog.routes);
 }
+
+/// Guards against an error whose size is the square of that of the file.
+#[test]
+fn each_duplicate_route_is_reported_once() {
+    let routes = (0..1_000)
+        .map(|i| format!("- {{ name: r{i}, prefix: /a, class: browse, service: garden-book }}\n"));
+    let text =
+        GOOD.replace("routes:\n", &format!("routes:\n  {}", routes.collect::<Vec<_>>().join("  ")));
+    let error = parse_file(text.as_bytes()).unwrap_err();
+    assert_eq!(error.problems.len(), 999, "{}", error.problems[0]);
+}
--- a/crates/config/tests/suite/snapshot.rs
+++ b/crates/config/tests/suite/snapshot.rs
@@ -1,5 +1,6 @@
 //! Snapshots, their retention and what to read.
 
+use proptest::{collection::btree_set, prelude::*};
 use shallottack_config::{
     Version,
     commit::{
@@ -88,6 +89,13 @@
     assert_eq!(plan(Some(150), &broken), ReadPlan::Peer);
 }
 
+/// Guards against a reader that fails when no change follows the newest snapshot.
+#[test]
+fn snapshot_of_the_head_needs_no_deltas() {
+    let broken = Broken { deltas: [64, 65].into(), ..Broken::default() };
+    assert_eq!(plan_read(&head(64, &[64]), None, &broken), snapshot(64, 64));
+}
+
 /// Guards against deltas being applied to a version that a restored table has lost.
 #[test]
 fn version_of_an_earlier_epoch_is_replaced_by_a_snapshot() {
@@ -99,3 +107,31 @@
     let plan = plan_read(&empty, None, &Broken::default());
     assert_eq!(plan, ReadPlan::Deltas { from: Version::ZERO, to: at(5) });
 }
+
+proptest! {
+    /// Guards against a reader that is sent to an object which it found broken, or without end.
+    #[test]
+    fn plan_avoids_broken_objects(
+        to in 0..400u64,
+        held in prop::option::of(0..400u64),
+        snapshots in btree_set(prop::sample::select(vec![64u64, 128, 192, 256, 320, 384]), 0..4),
+        deltas in btree_set(1..400u64, 0..4),
+    ) {
+        let newest = to / SNAPSHOT_INTERVAL;
+        let kept: Vec<_> = (1..=newest).rev().take(4).map(|it| it * SNAPSHOT_INTERVAL).collect();
+        let broken = Broken { snapshots: snapshots.clone(), deltas: deltas.clone() };
+        let whole = |from: u64| !deltas.iter().any(|it| *it > from && *it <= to);
+        match plan_read(&head(to, &kept), held.map(at), &broken) {
+            ReadPlan::Current => prop_assert!(held.is_some_and(|it| it >= to)),
+            ReadPlan::Deltas { from, .. } => {
+                prop_assert!(whole(from.seq) && (from == Version::ZERO || held == Some(from.seq)));
+            }
+            ReadPlan::Snapshot { seq, .. } => {
+                prop_assert!(kept.contains(&seq) && !snapshots.contains(&seq) && whole(seq));
+            }
+            ReadPlan::Peer => {
+                prop_assert!(!kept.iter().any(|it| !snapshots.contains(it) && whole(*it)));
+            }
+        }
+    }
+}
