Spread the probes and comparisons of daemons that start together

Cause: the first probe and every round of anti-entropy had fixed times after the start, so that daemons restarted together sent at the same moments ever after.

Change: the first probe and the first round are shifted by a phase that follows from the endpoint id, and the period of anti-entropy has a jitter of a quarter. The comments of the inputs state what the daemon has to pass on.

Ruled out: a random phase, since the constructor has no source of randomness and the replay of a trace would need one more input.

--- a/crates/membership/src/core.rs
+++ b/crates/membership/src/core.rs
@@ -4,6 +4,7 @@
 
 use rand::{Rng, RngExt};
 use shallottack_kernel::{DataCentre, EndpointId, Time};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     Action, Actions, Body, Counters, Identity, Input, Member, Message, Settings, State,
@@ -66,14 +67,16 @@
 impl Membership {
     /// Creates the core of a daemon that knows no other member yet.
     pub fn new(settings: Settings, identity: Identity, now: Time) -> Membership {
+        // Daemons that start together must not probe at the same moments ever after.
+        let phase = (xxh3_64(identity.endpoint.as_str().as_bytes()) % 1_000) as f64 / 1_000.0;
         Membership {
             owner: Owner::new(identity.incarnation),
             table: Table::new(identity.endpoint.clone()),
             queue: Queue::default(),
-            prober: Prober::new(identity.incarnation, now + settings.probe_period),
+            prober: Prober::new(identity.incarnation, now + settings.probe_period.mul_f64(phase)),
             suspicions: BTreeMap::new(),
             reach: BTreeMap::new(),
-            entropy: Entropy::new(now + settings.entropy_period),
+            entropy: Entropy::new(now + settings.entropy_period.mul_f64(phase)),
             join: Join::default(),
             heard: now,
             counters: Counters::default(),
@@ -107,7 +110,7 @@
 
     /// Returns the time of the next [`Input::Tick`].
     ///
-    /// A tick that comes later than this by more than [`Settings::pause_limit`] is taken as a
+    /// Every call of [`Membership::handle`] may bring it forward. A tick that comes later than it by more than [`Settings::pause_limit`] is taken as a
     /// pause of the process.
     pub fn wake_at(&self) -> Time {
         if self.owner.stopped {
--- a/crates/membership/src/entropy.rs
+++ b/crates/membership/src/entropy.rs
@@ -8,6 +8,7 @@
 use crate::{
     Action, Body, Member, Membership, Message, ShortDigest, State, Summary,
     core::{Context, Merged, Spread, pick},
+    reach::jittered,
     table::BUCKETS,
 };
 
@@ -43,7 +44,7 @@
             return;
         }
         self.remove_expired(cx);
-        self.entropy.next = cx.now + self.settings.entropy_period;
+        self.entropy.next = cx.now + jittered(cx, self.settings.entropy_period);
         let partner = self.entropy.partner.take().filter(|id| self.table.get(id).is_some());
         self.entropy.round = self.entropy.round.wrapping_add(1);
         let body = Body::Digests { digests: self.table.digests() };
--- a/crates/membership/src/input.rs
+++ b/crates/membership/src/input.rs
@@ -51,9 +51,11 @@
         /// The addresses; the daemon's own one is ignored.
         addresses: Vec<SocketAddr>,
     },
-    /// The own backend server announced itself.
+    /// The own backend server announced itself. Each announcement starts its cold start anew,
+    /// except one that repeats the last while the record is `Starting`.
     Announce(Announcement),
-    /// The own backend server or the daemon begins a graceful shutdown.
+    /// The own backend server or the daemon begins a graceful shutdown. Only a later
+    /// [`Input::Announce`] ends it, which a daemon that is itself shutting down must not pass on.
     Leave {
         /// Members that serve recent calls from this daemon or forwarded recent calls to it; they
         /// are told immediately.
@@ -63,7 +65,8 @@
     Stop,
     /// The daemon could not connect to the own backend server.
     ConnectFailed,
-    /// A call to, or a probe of, the own backend server succeeded.
+    /// A call to, or a probe of, the own backend server succeeded. Passing the first success after
+    /// each announcement and after each failed connection is enough.
     Succeeded,
     /// A peer's daemon did not answer a forwarded call.
     Unanswered {
--- a/crates/membership/src/reach.rs
+++ b/crates/membership/src/reach.rs
@@ -33,7 +33,7 @@
 }
 
 /// Returns a time between three and five quarters of `period`.
-fn jittered(cx: &mut Context<'_>, period: Duration) -> Duration {
+pub(crate) fn jittered(cx: &mut Context<'_>, period: Duration) -> Duration {
     period.mul_f64(cx.rng.random_range(0.75..1.25))
 }
 
@@ -95,10 +95,8 @@
 
     /// Notes that a probe of a member of another data centre failed.
     pub(crate) fn contact_failed(&mut self, cx: &mut Context<'_>, data_centre: &DataCentre) {
-        if self.is_isolated(cx.now) {
-            self.counters.inconclusive += 1;
-        }
         let isolated = self.is_isolated(cx.now);
+        self.counters.inconclusive += u64::from(isolated);
         let limit = self.settings.contact_failures;
         let Some(reach) = self.reach.get_mut(data_centre) else { return };
         reach.failed = if isolated { 0 } else { reach.failed + 1 };
--- a/crates/membership/tests/suite/partition.rs
+++ b/crates/membership/tests/suite/partition.rs
@@ -164,6 +164,8 @@
             && (6..12).all(|a| (0..6).all(|b| net.state(a, b) == Some(State::Dead)))
     })
     .expect("not dead");
+    // No probe of the last member to die may still be under way.
+    net.run(10 * SEC);
     // Both seeds are in the first half.
     for node in 0..12 {
         net.input(node, Input::Seeds { addresses: Vec::new() });
