--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -47,7 +47,7 @@
     in_flight: u32,
     queued: u32,
     /// Mean service time of all classes in microseconds.
-    mean: i64,
+    mean: Option<i64>,
     /// Time of the last start or end of a call at the backend server.
     progress: Time,
     checked: Time,
@@ -71,7 +71,7 @@
             order: RoundRobin::default(),
             in_flight: 0,
             queued: 0,
-            mean: settings.first_cost.as_micros() as i64,
+            mean: None,
             progress: Time(0),
             checked: Time(0),
             settings,
@@ -79,8 +79,11 @@
     }
 
     /// Takes the slots of a new announcement; the limit starts there again when they differ.
-    pub fn set_slots(&mut self, slots: u32) {
+    pub fn set_slots(&mut self, now: Time, slots: u32) -> Starts {
+        let mut starts = Starts::default();
         self.limit.set_slots(slots);
+        self.dispatch(now, &mut starts);
+        starts
     }
 
     /// Takes the classes of a catalog. Calls of removed classes that are in progress go on.
@@ -167,7 +170,8 @@
     /// Refuses queued calls that can no longer meet their deadline and lets the limit recover.
     pub fn tick(&mut self, now: Time) -> Starts {
         let mut starts = Starts::default();
-        self.limit.tick(now, &self.settings);
+        let saturated = self.in_flight >= self.limit.get();
+        self.limit.tick(now, saturated, &self.settings);
         self.dispatch(now, &mut starts);
         if self.queued > 0 && now.since(self.checked) >= self.settings.check_every {
             self.checked = now;
@@ -216,16 +220,17 @@
         }
         let cost = self.cost(class);
         let wait = self.wait(now, class.queue.len() as u64 * cost);
-        let end = now + micros(wait + cost);
-        if end > deadline {
-            return self.refuse(now, index, ErrorKind::DeadlineUnmet, end.since(deadline));
+        let left = deadline.since(now).as_micros() as u64;
+        let most = ((left as f64 * self.settings.hold_share) as u64).min(left.saturating_sub(cost));
+        if wait > most {
+            return self.refuse(now, index, ErrorKind::DeadlineUnmet, micros(wait - most));
         }
         // A longer queue would make every answer of the class miss its latency target without
         // serving more calls. One call per slot may always wait, so that no slot runs empty.
-        let most = class.target.within.as_micros() as u64;
-        let long = wait + cost > most && class.queue.len() >= self.limit.get() as usize;
+        let target = class.target.within.as_micros() as f64 * self.settings.queue_share;
+        let long = wait + cost > target as u64 && class.queue.len() >= self.limit.get() as usize;
         if long || class.queue.len() >= self.settings.queued_calls {
-            let excess = micros((wait + cost).saturating_sub(most));
+            let excess = micros((wait + cost).saturating_sub(target as u64));
             return self.refuse(now, index, ErrorKind::Overloaded, excess);
         }
         Verdict::Queue
@@ -271,10 +276,14 @@
         if self.in_flight < self.limit.get() {
             return 0;
         }
-        let usual = self.mean as u64 / u64::from(self.limit.get());
+        let usual = self.mean() / u64::from(self.limit.get());
         usual.max(now.since(self.progress).as_micros() as u64)
     }
 
+    fn mean(&self) -> u64 {
+        self.mean.map_or(self.settings.first_cost.as_micros() as u64, |it| it as u64).max(1)
+    }
+
     fn cost(&self, class: &ClassState) -> u64 {
         class.cost(self.settings.first_cost)
     }
@@ -320,7 +329,8 @@
         }
     }
 
-    /// Refuses every queued call whose expected end is after its deadline.
+    /// Refuses every queued call whose expected end is after its deadline or that has been held
+    /// for too much of its time.
     fn check(&mut self, now: Time, starts: &mut Starts) {
         let active: smallvec::SmallVec<[usize; 16]> = self.order.active().collect();
         for index in active {
@@ -330,7 +340,9 @@
             let last = now
                 + micros(self.wait(now, backlog) + backlog / u64::from(self.limit.get()))
                 + micros(cost);
-            if queue.iter().all(|it| it.deadline >= last) {
+            // The longest-waiting call is the first one.
+            let held = queue.front().is_some_and(|it| self.held_too_long(now, it));
+            if !held && queue.iter().all(|it| it.deadline >= last) {
                 self.classes[index].queue = queue;
                 continue;
             }
@@ -340,6 +352,11 @@
         self.order.adjust(&self.classes, |it| it.cost(first));
     }
 
+    fn held_too_long(&self, now: Time, waiting: &Waiting) -> bool {
+        let budget = waiting.deadline.since(waiting.arrived);
+        now.since(waiting.arrived) > budget.mul_f64(self.settings.hold_share)
+    }
+
     fn check_queue(
         &mut self,
         now: Time,
@@ -353,7 +370,7 @@
             // The queue of the class itself is taken out, so its part is added here.
             let own = kept * cost / u64::from(self.limit.get());
             let end = now + micros(self.wait(now, kept * cost) + own + cost);
-            if end <= it.deadline {
+            if end <= it.deadline && !self.held_too_long(now, it) {
                 kept += 1;
                 return true;
             }
@@ -385,9 +402,10 @@
         self.order.settle(class, running.charge, service);
         match completion.outcome {
             Outcome::Answered => {
-                class.measured(service);
+                class.measured(service, self.limit.above_slots());
                 class.stats.answered(now.since(running.arrived).as_micros() as u64, service);
-                self.mean += (service as i64 - self.mean) / MEAN_WEIGHT;
+                let mean = self.mean.unwrap_or(service as i64);
+                self.mean = Some(mean + (service as i64 - mean) / MEAN_WEIGHT);
                 self.sample(now, index, service, saturated);
             }
             // Failures are often quicker than answers and tell nothing of the usual latency.
@@ -395,7 +413,7 @@
             Outcome::Shed => {
                 class.stats.refused();
                 let failing = class.stats.failure_share() > class.failures;
-                let pause = micros(self.mean.max(1) as u64);
+                let pause = micros(self.mean());
                 self.limit.shed(now, pause, failing, &self.settings);
             }
         }
--- a/crates/admission/src/class.rs
+++ b/crates/admission/src/class.rs
@@ -94,8 +94,10 @@
         self.floor
     }
 
-    /// Takes the service time of an answer into account.
-    pub fn measured(&mut self, micros: u64) {
+    /// Takes the service time of an answer into account. `crowded` tells that the limit is above
+    /// the slots: calls may then wait inside the backend server, which must not raise the floor,
+    /// or the limit would creep upwards.
+    pub fn measured(&mut self, micros: u64, crowded: bool) {
         let value = micros as i64;
         self.cost = Some(match self.cost {
             Some(cost) if self.floor.is_some() || self.calls > 0 => {
@@ -108,13 +110,14 @@
         self.calls += 1;
         let full = if self.floor.is_some() { FLOOR_CALLS } else { FIRST_FLOOR_CALLS };
         if self.calls == full {
-            self.end_window();
+            self.end_window(crowded);
         }
     }
 
-    fn end_window(&mut self) {
+    fn end_window(&mut self, crowded: bool) {
         let mean = (self.sum / u64::from(self.calls)).max(1);
         self.floor = Some(match self.floor {
+            Some(floor) if mean > floor && crowded => floor,
             Some(floor) if mean > floor => floor + ((mean - floor) as f64 * FLOOR_DRIFT) as u64,
             _ => mean,
         });
--- a/crates/admission/src/limit.rs
+++ b/crates/admission/src/limit.rs
@@ -13,7 +13,7 @@
 const SHORT_CALLS: u32 = 32;
 /// Short windows in the window that decides on a limit above the slots; its ratios are compared
 /// with thresholds only 10 % apart.
-const LONG_WINDOWS: u32 = 8;
+const LONG_WINDOWS: u32 = 16;
 /// Latency alone never takes the limit below this share of the slots: a backend server whose own
 /// dependency is slow does not get faster with fewer calls.
 const LATENCY_FLOOR: f64 = 0.25;
@@ -100,6 +100,11 @@
         self.value as u32
     }
 
+    /// Returns whether the limit is above the announced slots.
+    pub fn above_slots(&self) -> bool {
+        self.get() > self.slots
+    }
+
     pub fn set_slots(&mut self, slots: u32) {
         if slots.max(1) != self.slots {
             *self = Limit::new(slots);
@@ -138,8 +143,7 @@
         }
     }
 
-    /// Takes a call that the backend server shed into account; returns whether the limit changed.
-    /// Sheds within `pause` of a change tell of the limit before it and are ignored.
+    /// Takes a call that the backend server shed into account. Sheds within `pause` of a change tell of the limit before it and are ignored.
     pub fn shed(&mut self, now: Time, pause: Duration, failing: bool, settings: &Settings) {
         if self.shed.is_some_and(|at| now.since(at) < pause) {
             return;
@@ -150,11 +154,16 @@
         self.set(now, (self.value * factor).min(self.value - 1.0).max(1.0));
     }
 
-    /// Lets a limit below the slots recover when there is too little load for full windows.
-    pub fn tick(&mut self, now: Time, settings: &Settings) {
+    /// Lets a limit below the slots recover when there is too little load for full windows. While
+    /// the limit is reached, only the windows raise it.
+    pub fn tick(&mut self, now: Time, saturated: bool, settings: &Settings) {
         let slots = f64::from(self.slots);
         if self.value < slots && now.since(self.changed) >= settings.recovery {
-            self.set(now, (self.value + 1.0).min(slots));
+            if saturated {
+                self.changed = now;
+            } else {
+                self.set(now, (self.value + 1.0).min(slots));
+            }
         }
     }
 
--- a/crates/admission/src/settings.rs
+++ b/crates/admission/src/settings.rs
@@ -23,6 +23,12 @@
     pub ease_ratio: f64,
     /// Time without evidence of overload after which a limit below the slots goes up by one.
     pub recovery: Duration,
+    /// Share of its time to the deadline that a call is queued at most. Without such a bound a call
+    /// whose expected end is always just before its deadline is refused just before it.
+    pub hold_share: f64,
+    /// Share of the latency target of a class that its queue takes at most; the rest is for the
+    /// spread of service times.
+    pub queue_share: f64,
     /// Longest queue of a class in calls.
     pub queued_calls: usize,
     /// Time between two checks of the deadlines of queued calls.
@@ -48,9 +54,11 @@
             shrink: 0.9,
             shrink_failing: 0.7,
             slow_ratio: 2.0,
-            grow_ratio: 1.1,
-            ease_ratio: 1.25,
+            grow_ratio: 1.05,
+            ease_ratio: 1.15,
             recovery: Duration::from_secs(1),
+            hold_share: 0.5,
+            queue_share: 0.75,
             queued_calls: 512,
             check_every: Duration::from_millis(5),
             first_cost: Duration::from_millis(10),
--- /dev/null
+++ b/crates/admission/tests/suite/cancel.rs
@@ -0,0 +1,50 @@
+//! Guards against slots and queue places that are lost to callers that have gone.
+
+use shallottack_admission::{CallId, Starts, Verdict};
+
+use crate::simulation::{admission, answered, arrival, at, ms, teach};
+
+/// Guards against a cancelled queued call being started, or counted in the queue.
+#[test]
+fn cancelled_queued_call_is_never_started() {
+    let mut admission = admission(1, &["a"], ms(500));
+    for call in 0..3 {
+        let _ = admission.arrive(at(0), &arrival(call, "a", at(1000)));
+    }
+    assert_eq!(admission.cancel(at(1), CallId(1)), Starts::default());
+    assert_eq!(admission.load().queued, 1);
+    let starts = admission.complete(at(10), CallId(0), answered(ms(10)));
+    assert_eq!(starts.start.as_slice(), [CallId(2)]);
+    assert!(admission.complete(at(20), CallId(2), answered(ms(10))).is_empty());
+}
+
+/// Guards against a cancelled running call keeping its slot, and against its late end freeing a
+/// second one.
+#[test]
+fn cancelled_running_call_frees_its_slot_once() {
+    let mut admission = admission(1, &["a"], ms(500));
+    for call in 0..3 {
+        let _ = admission.arrive(at(0), &arrival(call, "a", at(1000)));
+    }
+    assert_eq!(admission.cancel(at(1), CallId(0)).start.as_slice(), [CallId(1)]);
+    assert!(admission.complete(at(2), CallId(0), answered(ms(2))).is_empty());
+    assert_eq!((admission.load().in_flight, admission.load().queued), (1, 1));
+}
+
+/// Guards against a stalled backend server that goes unnoticed because its calls only ever end
+/// by cancellation.
+#[test]
+fn cancellations_of_slow_calls_lower_the_limit() {
+    let mut admission = admission(12, &["a"], ms(100));
+    teach(&mut admission, at(0), "a", ms(20), 40);
+    let mut now = at(100);
+    for round in 0..40_u64 {
+        let calls = (0..12).map(|it| round * 12 + it);
+        let run: Vec<u64> = calls
+            .filter(|&it| admission.arrive(now, &arrival(it, "a", now + ms(500))) == Verdict::Run)
+            .collect();
+        now = now + ms(500);
+        run.iter().for_each(|&it| drop(admission.cancel(now, CallId(it))));
+    }
+    assert!(admission.load().limit <= 6, "{:?}", admission.load());
+}
--- /dev/null
+++ b/crates/admission/tests/suite/deadline.rs
@@ -0,0 +1,157 @@
+//! Guards against calls that wait in vain.
+
+use shallottack_admission::{CallId, Refusal, Verdict};
+use shallottack_kernel::ErrorKind;
+
+use crate::simulation::{Load, Simulation, admission, answered, arrival, at, ms, teach};
+
+fn refusal(verdict: Verdict) -> Refusal {
+    match verdict {
+        Verdict::Refuse(refusal) => refusal,
+        other => panic!("expected a refusal, got {other:?}"),
+    }
+}
+
+/// Guards against a call being queued although the backlog before it takes more than half of the
+/// time it has left.
+#[test]
+fn call_behind_a_long_backlog_is_refused_on_arrival() {
+    let mut admission = admission(2, &["a"], ms(2000));
+    teach(&mut admission, at(0), "a", ms(100), 40);
+    for call in 0..6 {
+        let _ = admission.arrive(at(200), &arrival(call, "a", at(5000)));
+    }
+    // Two run and four wait: 200 ms of work, and a slot is free after 50 ms.
+    let verdict = admission.arrive(at(200), &arrival(10, "a", at(200 + 490)));
+    assert_eq!(refusal(verdict).kind, ErrorKind::DeadlineUnmet);
+    assert_eq!(admission.arrive(at(200), &arrival(11, "a", at(200 + 510))), Verdict::Queue);
+}
+
+/// Guards against a call being queued although its own service time takes it past its deadline.
+#[test]
+fn call_with_a_long_service_time_is_refused_on_arrival() {
+    let mut admission = admission(1, &["a"], ms(4000));
+    teach(&mut admission, at(0), "a", ms(1000), 40);
+    assert_eq!(admission.arrive(at(2000), &arrival(1, "a", at(9000))), Verdict::Run);
+    let verdict = admission.arrive(at(2000), &arrival(2, "a", at(2000 + 1900)));
+    assert_eq!(refusal(verdict).kind, ErrorKind::DeadlineUnmet);
+    assert_eq!(admission.arrive(at(2000), &arrival(3, "a", at(2000 + 2100))), Verdict::Queue);
+}
+
+/// Guards against a call that not even an idle backend server answers in time being run.
+#[test]
+fn call_shorter_than_any_service_time_is_refused_on_arrival() {
+    let mut admission = admission(2, &["a"], ms(2000));
+    teach(&mut admission, at(0), "a", ms(100), 40);
+    let verdict = admission.arrive(at(200), &arrival(1, "a", at(290)));
+    assert_eq!(refusal(verdict).kind, ErrorKind::DeadlineUnmet);
+}
+
+/// Guards against queued calls that are held until close to their deadline when the backend server
+/// stops answering: they learn of it with at least half of their time left.
+#[test]
+fn stalled_backend_server_has_queued_calls_refused_early() {
+    let mut admission = admission(2, &["a"], ms(2000));
+    teach(&mut admission, at(0), "a", ms(100), 40);
+    let now = at(200);
+    for call in 0..3 {
+        let verdict = admission.arrive(now, &arrival(call, "a", at(2200)));
+        assert_eq!(verdict, if call < 2 { Verdict::Run } else { Verdict::Queue });
+    }
+    let refused = loop {
+        let now = admission.wake_at();
+        assert!(now <= at(2200), "still held at its deadline");
+        let starts = admission.tick(now);
+        if let Some(&(call, refusal)) = starts.refuse.first() {
+            assert_eq!((call, refusal.kind), (CallId(2), ErrorKind::DeadlineUnmet));
+            break now;
+        }
+    };
+    assert!(refused <= at(1200), "refused at {refused:?}, deadline at 2.2 s");
+}
+
+/// Guards against a queued call being kept after a slowdown has made its deadline impossible.
+#[test]
+fn slowdown_refuses_queued_calls_at_the_next_check() {
+    let mut admission = admission(1, &["a"], ms(3000));
+    teach(&mut admission, at(0), "a", ms(10), 40);
+    for call in 0..20 {
+        let _ = admission.arrive(at(100), &arrival(call, "a", at(550)));
+    }
+    assert_eq!(admission.load().queued, 19);
+    assert!(admission.complete(at(200), CallId(0), answered(ms(100))).refuse.is_empty());
+    let _ = admission.tick(at(205));
+    let _ = admission.complete(at(300), CallId(1), answered(ms(100)));
+    // The mean is now above 15 ms: at most 14 of the 17 can still be served by 550 ms.
+    let starts = admission.tick(at(305));
+    assert!(admission.load().queued <= 14, "{:?}", admission.load());
+    assert!(!starts.refuse.is_empty());
+    assert!(starts.refuse.iter().all(|it| it.1.kind == ErrorKind::DeadlineUnmet));
+}
+
+/// Guards against a queued call that is held past half of its time because its expected end stays
+/// just before its deadline while the backend server gets slower.
+#[test]
+fn queued_call_is_held_for_at_most_half_of_its_time() {
+    let mut admission = admission(1, &["a"], ms(3000));
+    teach(&mut admission, at(0), "a", ms(100), 40);
+    for call in 0..5 {
+        let _ = admission.arrive(at(1000), &arrival(call, "a", at(2000)));
+    }
+    for call in 0..3 {
+        let end = at(1000 + (call + 1) * 150);
+        let starts = admission.complete(end, CallId(call), answered(ms(150)));
+        assert_eq!(starts.start.as_slice(), [CallId(call + 1)]);
+    }
+    assert!(admission.tick(at(1495)).is_empty());
+    assert_eq!(admission.tick(at(1505)).refuse[0].0, CallId(4));
+}
+
+/// Guards against overload that answers late instead of refusing early: almost nothing that was
+/// let in misses its deadline, and what is refused learns it in the first half of its time
+/// (and one check).
+#[test]
+fn overload_refuses_early_and_answers_in_time() {
+    let load = Load { class: "a", per_second: 3_000, service: ms(20), deadline: ms(400) };
+    let mut simulation = Simulation::new(admission(12, &["a"], ms(1000)), &[load], 4);
+    simulation.run_for(ms(30_000));
+    let fate = &simulation.fates["a"];
+    assert!(fate.refused > fate.answered);
+    assert!(fate.late * 100 <= fate.answered, "{} of {} late", fate.late, fate.answered);
+    assert!(fate.held <= 0.52, "held for {} of its time", fate.held);
+}
+
+/// Guards against a queue so long that every answer misses the latency target of its class.
+#[test]
+fn latency_target_bounds_the_queue() {
+    let load = Load { class: "a", per_second: 3_000, service: ms(20), deadline: ms(5_000) };
+    let mut simulation = Simulation::new(admission(12, &["a"], ms(200)), &[load], 5);
+    simulation.run_for(ms(5_000)).reset().run_for(ms(20_000));
+    assert!(simulation.fates["a"].p99() < ms(240), "{:?}", simulation.fates["a"].p99());
+    assert_eq!(simulation.idle_slots, 0);
+}
+
+/// Guards against refused callers that all come back at the same time: the time to come back
+/// grows with the callers refused before, and ends with the backlog.
+#[test]
+fn retry_after_spreads_the_refused_callers() {
+    let mut admission = admission(1, &["a"], ms(100));
+    teach(&mut admission, at(0), "a", ms(20), 40);
+    for call in 0..5 {
+        let _ = admission.arrive(at(100), &arrival(call, "a", at(60_000)));
+    }
+    let mut times = Vec::new();
+    for call in 10..20 {
+        let refusal = refusal(admission.arrive(at(100), &arrival(call, "a", at(60_000))));
+        assert_eq!(refusal.kind, ErrorKind::Overloaded);
+        times.push(refusal.retry_after);
+    }
+    assert!(times.is_sorted());
+    assert!(times[9] >= times[0] + ms(100), "{times:?}");
+    let mut now = at(100);
+    for call in 0..5 {
+        now = now + ms(20);
+        admission.complete(now, CallId(call), answered(ms(20)));
+    }
+    assert_eq!(admission.arrive(now, &arrival(30, "a", at(60_000))), Verdict::Run);
+}
