Decide moves between versions by sequential tests

Cause: an operator names only the new group and a deadline; the share of the new group must rise on evidence alone, and a faulty version must lose it quickly.

Change: `Move` adds up counts by route and compares both groups in the same window by a likelihood ratio on the part of bad calls that falls on the new group. A second test against the target of the class needs fewer calls; it sends all calls to the old group and takes the move back when the old group is then well. Both leave out each part of the new group's endpoints in turn. `Guard` stops one daemon, and `MoveRow` has the fenced transitions.

Ruled out: the test against the target alone, which can't tell a fault of a shared backend from one of the version; the comparison alone, since with 5 % of the calls on the old group it needs hundreds of failures.

--- /dev/null
+++ b/crates/bench/examples/moves.rs
@@ -0,0 +1,692 @@
+//! Measures the decisions that move traffic between versions, with generated outcomes of calls in
+//! virtual time, beside two simple policies.
+
+use std::{cmp::Reverse, collections::BTreeMap, collections::BinaryHeap, time::Duration};
+
+use gumdrop::Options;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use serde_json::{Value, json};
+use shallottack_bench::report::{quantile, rounded};
+use shallottack_kernel::{GroupName, RouteName, ServiceName, Time};
+use shallottack_moves::{
+    Decision, Evidence, Guard, Move, MoveRequest, MoveRow, Outcome, RouteClass, Settings, Side,
+    Transition, split,
+};
+
+/// Measures moves between versions.
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "number of moves", default = "1000")]
+    runs: u64,
+    #[options(help = "seed of all randomness", default = "1")]
+    seed: u64,
+    #[options(help = "print each missed move to standard error")]
+    verbose: bool,
+}
+
+const KINDS: [&str; 11] = [
+    "good",
+    "fails-at-once",
+    "fails-late",
+    "slow-under-load",
+    "one-route",
+    "shared-backend",
+    "sparse-good",
+    "sparse-bad",
+    "cold-start",
+    "noisy-good",
+    "noisy-bad",
+];
+const POLICIES: [&str; 3] = ["decisions", "fixed_steps", "all_at_once"];
+/// Calls per second and endpoint: 1.5 million over 3,700 endpoints.
+const ENDPOINT_RATE: f64 = 405.0;
+const REPORT_US: u64 = 200_000;
+const TICK_US: u64 = 100_000;
+const LOST_SHARE: f64 = 0.02;
+/// Time without decisions when the holder is replaced: the ttl of its lease.
+const FAILOVER_US: u64 = 3_000_000;
+/// Time for which a finished good move is watched, and a bad one after its fault shows.
+const WATCH_US: u64 = 120_000_000;
+
+/// Daemons of the deployment, endpoints of the service, its mean service time in milliseconds, and
+/// its routes: name, part of the calls, target in milliseconds, allowed failures, allowed slow
+/// calls, idempotent.
+type Site = (usize, usize, f64, &'static [(&'static str, f64, u64, f64, f64, bool)]);
+const SITES: [Site; 4] = [
+    (
+        11,
+        6,
+        5.0,
+        &[("placements", 0.9, 150, 0.005, 0.05, true), ("renewals", 0.1, 500, 0.001, 0.01, false)],
+    ),
+    (11, 5, 3.0, &[("rounds", 1.0, 80, 0.001, 0.01, true)]),
+    (9, 5, 5.0, &[("orders", 1.0, 500, 0.001, 0.01, false)]),
+    (
+        9,
+        4,
+        3.0,
+        &[("shelves", 0.8, 200, 0.005, 0.05, true), ("urgent", 0.2, 60, 0.001, 0.01, true)],
+    ),
+];
+
+/// Time in microseconds from which an endpoint is slow, until when, until when it says so, and the
+/// factor of its latency at the start.
+type Cold = (u64, u64, u64, f64);
+
+/// The truth about one move.
+struct World {
+    kind: usize,
+    site: Site,
+    rate: f64,
+    deadline: u64,
+    bad: bool,
+    /// Probability that the fault hits a call, whether as an error, and from when.
+    strength: f64,
+    errors: bool,
+    onset: u64,
+    /// Calls per second to the new group from which the fault shows.
+    load: f64,
+    route: Option<usize>,
+    /// Part of the calls that the fault can hit.
+    part: f64,
+    episodes: Vec<(u64, u64)>,
+    stalls: Vec<Vec<(u64, u64)>>,
+    cold: Vec<Vec<Cold>>,
+    usual: Vec<[(f64, f64); 2]>,
+    failover: Option<u64>,
+}
+
+fn between(rng: &mut StdRng, low: f64, high: f64) -> f64 {
+    low + rng.random::<f64>() * (high - low)
+}
+
+fn exponential(rng: &mut StdRng) -> f64 {
+    -(1.0 - rng.random::<f64>()).ln()
+}
+
+fn world(rng: &mut StdRng, run: u64) -> World {
+    let kind = (run % KINDS.len() as u64) as usize;
+    let name = KINDS[kind];
+    let site = SITES[rng.random_range(0..SITES.len())];
+    let full = ENDPOINT_RATE * site.1 as f64 * between(rng, 0.4, 1.2);
+    let rate = if name.starts_with("sparse") { between(rng, 2.0, 20.0) } else { full };
+    let deadline = (between(rng, 300.0, 900.0) * 1e6) as u64;
+    let bad =
+        !matches!(name, "good" | "shared-backend" | "sparse-good" | "cold-start" | "noisy-good");
+    let errors = rng.random::<bool>() && name != "slow-under-load";
+    let allowed = site.3.iter().map(|it| if errors { it.3 } else { it.4 }).fold(0.0, f64::max);
+    let least = (4.0 * allowed).max(0.05f64);
+    let strength = (between(rng, least.ln(), 0.0)).exp();
+    let late = matches!(name, "fails-late" | "noisy-bad") || name == "sparse-bad" && rng.random();
+    let onset = if late { (deadline as f64 * between(rng, 0.02, 1.2)) as u64 } else { 0 };
+    let load = if name == "slow-under-load" { rate * between(rng, 0.05, 0.9) } else { 0.0 };
+    let one = name == "one-route";
+    let route = (one && site.3.len() > 1).then(|| rng.random_range(0..site.3.len()));
+    let part = if one && site.3.len() == 1 { 0.2 } else { 1.0 };
+    let mut spans = |count: usize, least: f64, most: f64| -> Vec<(u64, u64)> {
+        (0..count)
+            .map(|_| {
+                let from = (deadline as f64 * rng.random::<f64>()) as u64;
+                (from, from + (between(rng, least, most) * 1e6) as u64)
+            })
+            .collect()
+    };
+    let episodes = if name == "shared-backend" { spans(3, 10.0, 60.0) } else { Vec::new() };
+    let noisy = name.starts_with("noisy");
+    let stall_count = if noisy { (deadline / 60_000_000) as usize } else { 0 };
+    let stalls = (0..2 * site.1).map(|_| spans(stall_count, 0.1, 1.0)).collect();
+    let cold =
+        (0..2 * site.1).map(|at| cold_starts(rng, name == "cold-start", at >= site.1, deadline));
+    let cold = cold.collect();
+    let usual = site.3.iter().map(|it| {
+        let high = if noisy { 0.9 } else { 0.5 };
+        let (failures, slow) = (it.3 * between(rng, 0.05, high), it.4 * between(rng, 0.05, high));
+        let factor = between(rng, 0.7, 1.3);
+        [(failures, slow), (failures * factor, slow * factor)]
+    });
+    let usual = usual.collect();
+    let failover =
+        (rng.random::<f64>() < 0.2).then(|| (deadline as f64 * rng.random::<f64>()) as u64);
+    World {
+        kind,
+        site,
+        rate,
+        deadline,
+        bad,
+        strength,
+        errors,
+        onset,
+        load,
+        route,
+        part,
+        episodes,
+        stalls,
+        cold,
+        usual,
+        failover,
+    }
+}
+
+fn cold_starts(rng: &mut StdRng, cold: bool, new: bool, deadline: u64) -> Vec<Cold> {
+    let restarts = if cold { 2 } else { 0 };
+    let starts = (0..restarts).map(|_| (deadline as f64 * rng.random::<f64>()) as u64);
+    let mut starts: Vec<u64> = starts.collect();
+    if cold && new {
+        starts.push(0);
+    }
+    let one = |from: u64| {
+        let length = between(rng, 5.0, 20.0) * 1e6;
+        let told = length * between(rng, 0.7, 1.3);
+        (from, from + length as u64, from + told as u64, between(rng, 5.0, 30.0))
+    };
+    starts.into_iter().map(one).collect()
+}
+
+impl World {
+    fn classes(&self) -> Vec<RouteClass> {
+        let class = |it: &(&str, f64, u64, f64, f64, bool)| RouteClass {
+            route: RouteName::new(it.0).expect("a name"),
+            within: Duration::from_millis(it.2),
+            failures: it.3,
+            slow: it.4,
+            idempotent: it.5,
+        };
+        self.site.3.iter().map(class).collect()
+    }
+
+    /// Returns the outcome of a call and whether the fault of the new version hit it.
+    fn call(
+        &self,
+        rng: &mut StdRng,
+        now: u64,
+        route: usize,
+        side: Side,
+        load: f64,
+    ) -> (Outcome, bool) {
+        let new = side == Side::New;
+        let endpoint = usize::from(new) * self.site.1 + rng.random_range(0..self.site.1);
+        let (failures, slow) = self.usual[route][usize::from(new)];
+        let mut failed = rng.random::<f64>() < failures;
+        let mut late = rng.random::<f64>() < slow;
+        let inside = |spans: &[(u64, u64)]| spans.iter().any(|it| it.0 <= now && now < it.1);
+        let hit = |rng: &mut StdRng| rng.random::<f64>() < self.strength;
+        if inside(&self.episodes) && hit(rng) {
+            (failed, late) = (failed || self.errors, late || !self.errors);
+        }
+        if inside(&self.stalls[endpoint]) {
+            late |= rng.random::<f64>() < 0.8;
+            failed |= rng.random::<f64>() < 0.1;
+        }
+        let fault = new
+            && self.bad
+            && now >= self.onset
+            && load >= self.load
+            && self.route.is_none_or(|it| it == route)
+            && rng.random::<f64>() < self.part
+            && hit(rng);
+        if fault {
+            (failed, late) = (failed || self.errors, late || !self.errors);
+        }
+        let within = self.site.3[route].2 as f64;
+        let mut factor = 1.0;
+        let mut cold = false;
+        for &(from, until, told, start) in &self.cold[endpoint] {
+            if from <= now && now < until {
+                factor = 1.0 + (start - 1.0) * (until - now) as f64 / (until - from) as f64;
+            }
+            cold |= from <= now && now < told;
+        }
+        let mut millis = 2.0 + self.site.2 * exponential(rng) * factor;
+        if late {
+            millis = millis.max(within * between(rng, 1.05, 2.0));
+        }
+        let latency = Duration::from_micros((millis * 1e3) as u64);
+        (Outcome { failed, latency, cold }, fault)
+    }
+}
+
+enum Act {
+    Nothing,
+    Share(f64),
+    Back,
+    Finish,
+}
+
+/// A policy that is measured.
+enum Policy {
+    Core {
+        core: Box<Move>,
+        row: MoveRow,
+        settings: Settings,
+        epoch: u64,
+    },
+    Threshold {
+        steps: &'static [f64],
+        step: usize,
+        changed: u64,
+        seen: BTreeMap<RouteName, Vec<(u64, u64, u64, u64)>>,
+    },
+}
+
+impl Policy {
+    fn new(which: usize, world: &World) -> Policy {
+        let steps: &[f64] = match which {
+            0 => return Policy::core(world),
+            1 => &[0.01, 0.1, 0.5, 1.0],
+            _ => &[1.0],
+        };
+        Policy::Threshold { steps, step: 0, changed: 0, seen: BTreeMap::new() }
+    }
+
+    fn core(world: &World) -> Policy {
+        let settings = Settings::default();
+        let group = |text| GroupName::new(text).expect("a name");
+        let request = MoveRequest {
+            service: ServiceName::new("moved").expect("a name"),
+            old: group("v1"),
+            new: group("v2"),
+            deadline: Time(world.deadline),
+        };
+        let Transition::Write(row) = MoveRow::start(None, request, &settings, Time(0)) else {
+            unreachable!("a service without a row can be moved")
+        };
+        let core = Box::new(Move::new(settings.clone(), &world.classes()));
+        Policy::Core { core, row, settings, epoch: 1 }
+    }
+
+    fn replace_holder(&mut self, world: &World) {
+        if let Policy::Core { core, settings, epoch, .. } = self {
+            **core = Move::new(settings.clone(), &world.classes());
+            *epoch += 1;
+        }
+    }
+
+    fn shares(&self, share: f64, routes: usize) -> Vec<f64> {
+        match self {
+            Policy::Core { core, row, .. } => {
+                let named: BTreeMap<_, _> = core.shares(row).into_iter().collect();
+                // Routes are listed in the order of their names.
+                named.into_values().collect()
+            }
+            Policy::Threshold { .. } => vec![share; routes],
+        }
+    }
+
+    fn decide(&mut self, now: u64, evidence: &Evidence, world: &World) -> Act {
+        match self {
+            Policy::Core { core, row, settings, epoch } => {
+                core.observe(Time(now), row, evidence);
+                let decision = core.decide(Time(now), row);
+                let next = decision.transition(row, *epoch, settings, Time(now));
+                let (Transition::Write(next) | Transition::Fenced(next)) = next else {
+                    return Act::Nothing;
+                };
+                *row = next;
+                match decision {
+                    Decision::Raise { share, .. } => Act::Share(share),
+                    Decision::TakeBack { .. } => Act::Back,
+                    Decision::Finish => Act::Finish,
+                    Decision::Hold | Decision::ReportAtRisk { .. } => Act::Nothing,
+                }
+            }
+            Policy::Threshold { steps, step, changed, seen } => {
+                for (name, it) in &evidence.routes {
+                    let list = seen.entry(name.clone()).or_default();
+                    list.push((now, it.new.calls, it.new.failures, it.new.slow));
+                    list.retain(|it| now - it.0 <= 10_000_000);
+                }
+                for class in world.classes() {
+                    let Some(list) = seen.get(&class.route) else { continue };
+                    let sum = |it: fn(&(u64, u64, u64, u64)) -> u64| {
+                        list.iter().map(it).sum::<u64>() as f64
+                    };
+                    let (calls, failures, slow) = (sum(|it| it.1), sum(|it| it.2), sum(|it| it.3));
+                    let over =
+                        failures > 2.0 * class.failures * calls || slow > 2.0 * class.slow * calls;
+                    if *step > 0 && calls >= 20.0 && over {
+                        return Act::Back;
+                    }
+                }
+                let dwell = (world.deadline as f64 * 0.6 / steps.len() as f64) as u64;
+                if *step > 0 && now < *changed + dwell {
+                    return Act::Nothing;
+                }
+                *step += 1;
+                *changed = now;
+                match steps.get(*step - 1) {
+                    Some(&share) => Act::Share(share),
+                    None if *step == steps.len() + 1 => Act::Finish,
+                    None => Act::Nothing,
+                }
+            }
+        }
+    }
+}
+
+struct Daemon {
+    report: Evidence,
+    next: u64,
+    shares: Vec<f64>,
+    guards: Vec<Guard>,
+    stopped: u64,
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Outcome {
+        daemon: usize,
+        route: usize,
+        new: bool,
+        start: u64,
+        failed: bool,
+        cold: bool,
+        latency: u64,
+        hit: bool,
+    },
+    Report {
+        number: usize,
+    },
+    Shares {
+        daemon: usize,
+        order: u64,
+        number: usize,
+    },
+}
+
+#[derive(Debug, Clone, Default)]
+struct Outcomes {
+    kind: usize,
+    bad: bool,
+    finished: Option<u64>,
+    taken: bool,
+    hurt_share: f64,
+    hurt_share_until: f64,
+    zero_ms: Option<f64>,
+    in_time: bool,
+}
+
+/// Runs one move under one policy.
+fn simulate(world: &World, which: usize, seed: u64) -> Outcomes {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let settings = Settings::default();
+    let classes = world.classes();
+    let count = classes.len();
+    let mut policy = Policy::new(which, world);
+    let mut daemons: Vec<Daemon> = (0..world.site.0)
+        .map(|at| Daemon {
+            report: Evidence::report(Time(0)),
+            next: REPORT_US * (at as u64 + 1) / world.site.0 as u64,
+            shares: vec![0.0; count],
+            guards: classes.iter().map(Guard::new).collect(),
+            stopped: 0,
+        })
+        .collect();
+    let mut orders = vec![0u64; daemons.len()];
+    let (mut order, mut share, mut tick) = (0u64, 0.0, TICK_US);
+    let mut events: BinaryHeap<Reverse<(u64, Event)>> = BinaryHeap::new();
+    let (mut reports, mut sent): (Vec<Option<Evidence>>, Vec<Vec<f64>>) = Default::default();
+    let mut arrived = Evidence::default();
+    let mut out = Outcomes { kind: world.kind, bad: world.bad, ..Outcomes::default() };
+    let (mut calls, mut hurt, mut first_hit) = (0u64, 0u64, None);
+    let (mut new_calls, mut load) = (0u64, 0.0);
+    let (mut now, mut back_at) = (0u64, None);
+    let mut failover = world.failover;
+    let mut resume = 0;
+    loop {
+        now += (exponential(&mut rng) * 1e6 / world.rate) as u64 + 1;
+        while tick <= now || events.peek().is_some_and(|it| it.0.0 <= now) {
+            if events.peek().is_some_and(|it| it.0.0 <= tick) {
+                let Some(Reverse((at, event))) = events.pop() else { break };
+                match event {
+                    Event::Outcome { daemon, route, new, start, failed, cold, latency, hit } => {
+                        if hit {
+                            first_hit.get_or_insert(at);
+                        }
+                        let it = &mut daemons[daemon];
+                        let side = if new { Side::New } else { Side::Old };
+                        let outcome =
+                            Outcome { failed, cold, latency: Duration::from_micros(latency) };
+                        let class = &classes[route];
+                        it.report.from = it.report.from.min(Time(start));
+                        it.report
+                            .routes
+                            .entry(class.route.clone())
+                            .or_default()
+                            .side(side)
+                            .add(outcome, class.within);
+                        if which == 0
+                            && let Some(stop) =
+                                it.guards[route].observe(&settings, Time(at), side, outcome)
+                        {
+                            it.stopped = stop.until.0;
+                        }
+                    }
+                    Event::Report { number } => {
+                        if let Some(report) = reports[number].take() {
+                            arrived.merge(&report);
+                        }
+                    }
+                    Event::Shares { daemon, order, number } => {
+                        if order > orders[daemon] {
+                            orders[daemon] = order;
+                            daemons[daemon].shares.clone_from(&sent[number]);
+                        }
+                        let all = orders.iter().all(|it| *it == order);
+                        if out.taken && all && back_at.is_none() {
+                            back_at = Some(at);
+                        }
+                    }
+                }
+                continue;
+            }
+            let at = tick;
+            tick += TICK_US;
+            load = load * 0.8 + 0.2 * new_calls as f64 * 1e6 / TICK_US as f64;
+            new_calls = 0;
+            for it in &mut daemons {
+                if it.next > at {
+                    continue;
+                }
+                it.next += REPORT_US;
+                it.report.stopped = u32::from(it.stopped > at);
+                let report = std::mem::replace(&mut it.report, Evidence::report(Time(at)));
+                if rng.random::<f64>() >= LOST_SHARE {
+                    let slow = rng.random::<f64>() < 0.01;
+                    let delay = if slow {
+                        between(&mut rng, 2e5, 1e6)
+                    } else {
+                        between(&mut rng, 5e3, 1.5e5)
+                    };
+                    events.push(Reverse((
+                        at + delay as u64,
+                        Event::Report { number: reports.len() },
+                    )));
+                    reports.push(Some(report));
+                }
+            }
+            if failover.is_some_and(|it| it <= at) {
+                failover = None;
+                resume = at + FAILOVER_US;
+                policy.replace_holder(world);
+            }
+            if out.taken || at < resume {
+                arrived = Evidence::default();
+                continue;
+            }
+            let act = policy.decide(at, &std::mem::take(&mut arrived), world);
+            let table = between(&mut rng, 2e4, 1e5);
+            let wait = match act {
+                Act::Nothing => None,
+                Act::Share(next) => {
+                    share = next;
+                    Some(table)
+                }
+                Act::Back => {
+                    share = 0.0;
+                    out.taken = true;
+                    Some(0.0)
+                }
+                Act::Finish => {
+                    out.finished = Some(at);
+                    None
+                }
+            };
+            // Shares by steering follow the measured rates every 2 s.
+            let refresh = (which == 0 && share > 0.0 && at % 2_000_000 == 0).then_some(0.0);
+            if let Some(wait) = wait.or(refresh) {
+                order += 1;
+                sent.push(if out.taken { vec![0.0; count] } else { policy.shares(share, count) });
+                for daemon in 0..daemons.len() {
+                    let lost = rng.random::<f64>() < LOST_SHARE;
+                    // A lost message is sent again after 500 ms.
+                    let delay = wait + between(&mut rng, 5e3, 1.5e5) + if lost { 5e5 } else { 0.0 };
+                    let number = sent.len() - 1;
+                    events.push(Reverse((
+                        at + delay as u64,
+                        Event::Shares { daemon, order, number },
+                    )));
+                }
+            }
+        }
+        let over = match (out.taken, out.finished, first_hit) {
+            (true, _, _) => back_at.is_some(),
+            (_, Some(at), _) if !world.bad => now > at + WATCH_US,
+            (_, Some(at), Some(hit)) => now > at.max(hit) + WATCH_US,
+            // The old group's ready time bounds when a late fault can be taken back.
+            (_, Some(at), None) => now > at + settings.ready.as_micros() as u64,
+            (_, None, _) => now > world.deadline + WATCH_US,
+        };
+        if over {
+            break;
+        }
+        calls += 1;
+        let daemon = rng.random_range(0..daemons.len());
+        let mut pick = rng.random::<f64>();
+        let mut route = 0;
+        while route + 1 < count && pick >= world.site.3[route].1 {
+            pick -= world.site.3[route].1;
+            route += 1;
+        }
+        let it = &daemons[daemon];
+        let wanted = if it.stopped > now { 0.0 } else { it.shares[route] };
+        let side = split(wanted, &mut rng);
+        new_calls += u64::from(side == Side::New);
+        let (outcome, hit) = world.call(&mut rng, now, route, side, load);
+        hurt += u64::from(hit);
+        // A call over its target is known to be slow as soon as the target has passed.
+        let latency = outcome.latency.as_micros() as u64;
+        let visible =
+            if outcome.failed { latency } else { latency.min(world.site.3[route].2 * 1_000 + 1) };
+        let event = Event::Outcome {
+            daemon,
+            route,
+            new: side == Side::New,
+            start: now,
+            failed: outcome.failed,
+            cold: outcome.cold,
+            latency,
+            hit,
+        };
+        events.push(Reverse((now + visible, event)));
+    }
+    out.in_time = !out.taken && out.finished.is_some_and(|at| at <= world.deadline);
+    out.hurt_share = hurt as f64 / (world.rate * world.deadline.max(now) as f64 / 1e6);
+    out.hurt_share_until = hurt as f64 / calls.max(1) as f64;
+    out.zero_ms = match (first_hit, back_at) {
+        (Some(hit), Some(back)) => Some(back.saturating_sub(hit) as f64 / 1e3),
+        _ => None,
+    };
+    out
+}
+
+fn mean(values: impl Iterator<Item = f64>) -> f64 {
+    let (sum, count) = values.fold((0.0, 0u64), |it, value| (it.0 + value, it.1 + 1));
+    if count == 0 { 0.0 } else { sum / count as f64 }
+}
+
+fn summary(all: &[&Outcomes]) -> Value {
+    let part = |bad: bool, test: fn(&Outcomes) -> bool| {
+        mean(all.iter().filter(|it| it.bad == bad).map(|it| f64::from(u8::from(test(it)))))
+    };
+    let fine = |value: f64| (value * 1e6).round() / 1e6;
+    let mut zero: Vec<f64> = all.iter().filter(|it| it.bad).filter_map(|it| it.zero_ms).collect();
+    let bad = || all.iter().filter(|it| it.bad);
+    json!({
+        "good": all.iter().filter(|it| !it.bad).count(),
+        "bad": bad().count(),
+        "good_finished_in_time": rounded(part(false, |it| it.in_time)),
+        "good_taken_back": rounded(part(false, |it| it.taken)),
+        "bad_taken_back": rounded(part(true, |it| it.taken)),
+        "bad_finished": rounded(part(true, |it| it.finished.is_some() && !it.taken)),
+        "bad_request_share_mean": fine(mean(bad().map(|it| it.hurt_share))),
+        "bad_request_share_max": fine(bad().map(|it| it.hurt_share).fold(0.0, f64::max)),
+        "bad_request_share_until_end_mean": fine(mean(bad().map(|it| it.hurt_share_until))),
+        "fault_to_zero_share_ms_p50": rounded(quantile(&mut zero, 0.5)),
+        "fault_to_zero_share_ms_p99": rounded(quantile(&mut zero, 0.99)),
+    })
+}
+
+fn report(all: &[Outcomes]) -> Value {
+    let mut value = summary(&all.iter().collect::<Vec<_>>());
+    let kinds = KINDS.iter().enumerate().map(|(kind, name)| {
+        let these: Vec<_> = all.iter().filter(|it| it.kind == kind).collect();
+        ((*name).to_owned(), summary(&these))
+    });
+    value["kinds"] = Value::Object(kinds.collect());
+    value
+}
+
+fn seed_of(seed: u64, run: u64) -> u64 {
+    seed.wrapping_mul(1_000_003).wrapping_add(run)
+}
+
+fn run(arguments: &Arguments, run: u64) -> Vec<Outcomes> {
+    let seed = seed_of(arguments.seed, run);
+    let world = world(&mut StdRng::seed_from_u64(seed), run);
+    let outcomes: Vec<_> = (0..POLICIES.len()).map(|it| simulate(&world, it, seed)).collect();
+    let it = &outcomes[0];
+    if arguments.verbose
+        && (it.bad != it.taken || !it.bad && !it.in_time || it.zero_ms.is_some_and(|it| it > 2e3))
+    {
+        eprintln!(
+            "run {run} {} rate {:.0} deadline {} s routes {} strength {:.2} errors {} onset {} s load {:.0} route {:?} part {}: {it:?}",
+            KINDS[world.kind],
+            world.rate,
+            world.deadline / 1_000_000,
+            world.site.3[0].0,
+            world.strength,
+            world.errors,
+            world.onset / 1_000_000,
+            world.load,
+            world.route,
+            world.part,
+        );
+    }
+    outcomes
+}
+
+fn main() {
+    let arguments = Arguments::parse_args_default_or_exit();
+    let threads = std::thread::available_parallelism().map_or(1, |it| it.get() as u64).min(8);
+    let mut all: Vec<Vec<Outcomes>> = std::thread::scope(|scope| {
+        let arguments = &arguments;
+        let part = |at: u64| (at..arguments.runs).step_by(threads as usize);
+        let workers: Vec<_> = (0..threads)
+            .map(|at| {
+                scope.spawn(move || part(at).map(|it| run(arguments, it)).collect::<Vec<_>>())
+            })
+            .collect();
+        workers.into_iter().flat_map(|it| it.join().expect("a worker ends")).collect()
+    });
+    let mut columns = (0..POLICIES.len())
+        .map(|at| all.iter_mut().map(|it| std::mem::take(&mut it[at])).collect::<Vec<_>>())
+        .collect::<Vec<_>>()
+        .into_iter();
+    let mut value = report(&columns.next().unwrap_or_default());
+    for (name, column) in POLICIES.iter().skip(1).zip(columns) {
+        value[format!("baseline_{name}")] = report(&column);
+    }
+    println!("{value}");
+}
--- /dev/null
+++ b/crates/moves/src/guard.rs
@@ -0,0 +1,78 @@
+//! Guard of one daemon against a burst of faults of the new group.
+
+use serde::{Deserialize, Serialize};
+use shallottack_kernel::Time;
+
+use crate::{Outcome, RouteClass, Settings, Side};
+
+/// The daemon sends nothing to the new group until then.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StopSending {
+    /// Time at which the daemon may send again, if the move was not taken back.
+    pub until: Time,
+}
+
+/// Least rate of bad calls that is taken as usual.
+const LEAST_RATE: f64 = 0.02;
+/// Least rate of bad calls that the guard looks for; slower faults are left to the fleet.
+const BURST_RATE: f64 = 0.25;
+/// Weight of one call in the rate of the old group.
+const OLD_WEIGHT: f64 = 0.05;
+
+/// Guard of one daemon for one route: a cumulative sum test of the new group's bad calls against
+/// twice the larger of the class target and the old group's recent rate.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Guard {
+    within: std::time::Duration,
+    allowed: f64,
+    old_rate: f64,
+    score: f64,
+    stopped: Option<Time>,
+}
+
+impl Guard {
+    /// Creates the guard of a route.
+    pub fn new(class: &RouteClass) -> Guard {
+        Guard {
+            within: class.within,
+            allowed: class.failures.max(class.slow),
+            old_rate: 0.0,
+            score: 0.0,
+            stopped: None,
+        }
+    }
+
+    /// Takes the outcome of a call, and returns when the daemon must stop sending.
+    pub fn observe(
+        &mut self,
+        settings: &Settings,
+        now: Time,
+        side: Side,
+        outcome: Outcome,
+    ) -> Option<StopSending> {
+        let bad = outcome.failed || (!outcome.cold && outcome.latency > self.within);
+        if side == Side::Old {
+            self.old_rate += OLD_WEIGHT * (f64::from(u8::from(bad)) - self.old_rate);
+            return None;
+        }
+        if self.stopped(now) {
+            return None;
+        }
+        let usual = (2.0 * self.allowed.max(self.old_rate)).clamp(LEAST_RATE, 0.45);
+        let burst = (3.0 * usual).clamp(BURST_RATE, 0.9);
+        let gain = if bad { burst / usual } else { (1.0 - burst) / (1.0 - usual) };
+        self.score = (self.score + gain.ln()).max(0.0);
+        if self.score < settings.guard_score {
+            return None;
+        }
+        self.score = 0.0;
+        let until = now + settings.guard_hold;
+        self.stopped = Some(until);
+        Some(StopSending { until })
+    }
+
+    /// Returns whether the daemon must not send to the new group.
+    pub fn stopped(&self, now: Time) -> bool {
+        self.stopped.is_some_and(|until| now < until)
+    }
+}
--- /dev/null
+++ b/crates/moves/src/judge.rs
@@ -0,0 +1,260 @@
+//! Sequential tests of the new group on one route.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Counts, PARTS, RouteClass, RouteEvidence, Settings};
+
+/// What is compared between the groups.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Measure {
+    /// Share of calls that failed.
+    Failures,
+    /// Share of calls over the latency target.
+    Slow,
+}
+
+/// Ratios of rates that are tested as alternatives, from a moderate to an extreme fault.
+const RATIOS: [f64; 4] = [4.0, 10.0, 40.0, 400.0];
+/// Part of the false alarm rate kept for faults that are there from the start.
+const START_WEIGHT: f64 = 0.5;
+/// Weight of the past in recent counts at each observation; at 10 observations/s it halves in
+/// 1.4 s.
+const RECENT: f64 = 0.95;
+/// Least rate of bad calls that is taken as usual.
+const LEAST_RATE: f64 = 0.005;
+/// Largest rate of bad calls that is taken as usual.
+const MOST_RATE: f64 = 0.4;
+
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+struct Sample {
+    bad: f64,
+    calls: f64,
+}
+
+impl Sample {
+    fn of(measure: Measure, counts: &Counts) -> Sample {
+        let (bad, calls) = match measure {
+            Measure::Failures => (counts.failures, counts.calls),
+            Measure::Slow => (counts.slow, counts.timed),
+        };
+        Sample { bad: bad as f64, calls: calls as f64 }
+    }
+
+    fn rate(&self) -> f64 {
+        self.bad / self.calls.max(1.0)
+    }
+
+    fn decay(&mut self, new: Sample) {
+        self.bad = self.bad * RECENT + new.bad;
+        self.calls = self.calls * RECENT + new.calls;
+    }
+
+    /// Returns the logarithm of the likelihood ratio of rate `high` against rate `low`.
+    fn evidence(&self, high: f64, low: f64) -> f64 {
+        let good = self.calls - self.bad;
+        self.bad * (high / low).ln() + good * ((1.0 - high) / (1.0 - low)).ln()
+    }
+}
+
+/// Tests of one measure.
+///
+/// `sums` compares the groups in the same window. Given the bad calls of both groups, the part that
+/// falls on the new group follows from the calls alone when it is no worse, whatever the common
+/// rate. The likelihood ratio against that is multiplied up over all times at which the fault may
+/// have begun; an alarm is given at the inverse of the false alarm rate.
+///
+/// `scores` are cumulative sums of the new group's calls against the target of the class, for a
+/// moderate and an extreme fault. They need few calls but can't see a fault of a shared backend.
+#[derive(Debug, Clone, PartialEq)]
+struct Detector {
+    sums: [f64; RATIOS.len()],
+    scores: [f64; 2],
+    seen: u32,
+    new: Sample,
+}
+
+impl Detector {
+    fn new() -> Detector {
+        let sums = [START_WEIGHT; RATIOS.len()];
+        Detector { sums, scores: [0.0; 2], seen: 0, new: Sample::default() }
+    }
+
+    fn observe(&mut self, settings: &Settings, new: Sample, old: Sample, usual: f64) {
+        self.new.decay(new);
+        if new.calls == 0.0 {
+            return;
+        }
+        for (score, high) in self.scores.iter_mut().zip([3.0 * usual, 0.5]) {
+            let high = high.clamp(1.5 * usual, 0.9);
+            let log = new.evidence(high, usual).min(settings.most_evidence);
+            *score = (*score + log).max(0.0);
+        }
+        if old.calls == 0.0 {
+            return;
+        }
+        self.seen = self.seen.saturating_add(1);
+        // After the horizon no further time of onset is added, which keeps the stated rate.
+        let onset = if self.seen <= settings.horizon {
+            (1.0 - START_WEIGHT) / f64::from(settings.horizon)
+        } else {
+            0.0
+        };
+        let part = |ratio: f64| ratio * new.calls / (old.calls + ratio * new.calls);
+        let fair = part(settings.tolerance);
+        for (sum, ratio) in self.sums.iter_mut().zip(RATIOS) {
+            let faulty = part(ratio * settings.tolerance);
+            let log =
+                new.bad * (faulty / fair).ln() + old.bad * ((1.0 - faulty) / (1.0 - fair)).ln();
+            *sum = (*sum + onset) * log.min(settings.most_evidence).exp();
+            // A finite value keeps a sum usable after any number of observations.
+            *sum = sum.min(1e200);
+        }
+    }
+
+    fn compared(&self) -> f64 {
+        (self.sums.iter().sum::<f64>() / RATIOS.len() as f64).ln()
+    }
+
+    fn score(&self) -> f64 {
+        self.scores[0].max(self.scores[1])
+    }
+}
+
+/// One measure on one route: the tests over all calls, and those without the calls of each part
+/// of the new group's endpoints. A fault of a single endpoint is not one of the version.
+#[derive(Debug, Clone, PartialEq)]
+struct Tests {
+    measure: Measure,
+    allowed: f64,
+    old: Sample,
+    whole: Detector,
+    without: [Detector; PARTS],
+}
+
+impl Tests {
+    fn new(measure: Measure, allowed: f64) -> Tests {
+        let without = std::array::from_fn(|_| Detector::new());
+        Tests { measure, allowed, old: Sample::default(), whole: Detector::new(), without }
+    }
+
+    /// Returns the rate of bad calls up to which a group is taken as usual.
+    fn usual(&self) -> f64 {
+        (2.0 * self.allowed.max(self.old.rate())).clamp(LEAST_RATE, MOST_RATE)
+    }
+
+    fn observe(&mut self, settings: &Settings, counts: &RouteEvidence) {
+        let old = Sample::of(self.measure, &counts.old);
+        let usual = self.usual();
+        let sample = |without| Sample::of(self.measure, &counts.new_sum(without));
+        self.whole.observe(settings, sample(None), old, usual);
+        for (part, it) in self.without.iter_mut().enumerate() {
+            it.observe(settings, sample(Some(part)), old, usual);
+        }
+        self.old.decay(old);
+    }
+
+    /// Returns the least value over the tests that leave a part out, when the new group is worse
+    /// than its class allows.
+    fn least(&self, parts: usize, value: fn(&Detector) -> f64) -> f64 {
+        if self.whole.new.rate() <= self.allowed {
+            return f64::NEG_INFINITY;
+        }
+        // With fewer than three parts, leaving one out would leave a single endpoint.
+        if parts < 3 {
+            return value(&self.whole);
+        }
+        self.without.iter().map(value).fold(value(&self.whole), f64::min)
+    }
+}
+
+/// The new group misses the target of the class.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Burst {
+    /// Measure by which it misses the target.
+    pub measure: Measure,
+    /// Rate of bad calls of the new group.
+    pub rate: f64,
+    /// Rate of bad calls that is taken as usual.
+    pub usual: f64,
+}
+
+impl Burst {
+    /// Returns the logarithm of the likelihood ratio of a fault that the old group shares against
+    /// an old group that is well, given calls of the old group.
+    pub fn shared(&self, old: &Counts) -> f64 {
+        let high = (self.rate / 2.0).min(0.9);
+        Sample::of(self.measure, old).evidence(high, self.usual.min(high / 3.0))
+    }
+}
+
+/// Sequential tests per measure on one route.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Judge {
+    tests: [Tests; 2],
+    used: [bool; PARTS],
+    threshold: f64,
+}
+
+impl Judge {
+    /// Creates the tests of a route of a service with `routes` routes.
+    pub fn new(settings: &Settings, routes: usize, class: &RouteClass) -> Judge {
+        // Two measures per route share the false alarm rate of the move.
+        let tests = (2 * routes.max(1)) as f64;
+        Judge {
+            tests: [
+                Tests::new(Measure::Failures, class.failures),
+                Tests::new(Measure::Slow, class.slow),
+            ],
+            used: [false; PARTS],
+            threshold: (tests / settings.false_alarms).ln(),
+        }
+    }
+
+    /// Adds the counts of both groups in one window.
+    pub fn observe(&mut self, settings: &Settings, counts: &RouteEvidence) {
+        for (used, it) in self.used.iter_mut().zip(&counts.new) {
+            *used |= it.calls > 0;
+        }
+        self.tests.iter_mut().for_each(|it| it.observe(settings, counts));
+    }
+
+    fn parts(&self) -> usize {
+        self.used.iter().filter(|it| **it).count()
+    }
+
+    /// Returns the measure by which the new group is worse than the old one, if the comparison has
+    /// ended.
+    pub fn alarm(&self) -> Option<Measure> {
+        let found = |it: &&Tests| it.least(self.parts(), Detector::compared) >= self.threshold;
+        self.tests.iter().find(found).map(|it| it.measure)
+    }
+
+    /// Returns by how much the new group misses the target of its class, if the test against the
+    /// target has reached `score`.
+    pub fn burst(&self, score: f64) -> Option<Burst> {
+        let found = |it: &&Tests| it.least(self.parts(), Detector::score) >= score;
+        let burst = |it: &Tests| Burst {
+            measure: it.measure,
+            rate: it.whole.new.rate(),
+            usual: it.usual(),
+        };
+        self.tests.iter().find(found).map(burst)
+    }
+
+    /// Starts the tests against the class target again.
+    pub fn forget_bursts(&mut self) {
+        for it in &mut self.tests {
+            let all = it.without.iter_mut().chain([&mut it.whole]);
+            all.for_each(|it| it.scores = [0.0; 2]);
+        }
+    }
+
+    /// Returns whether the evidence against the new group has gone this part of the way.
+    pub fn suspect(&self, settings: &Settings) -> bool {
+        self.tests.iter().any(|it| {
+            it.least(0, Detector::compared) >= settings.suspect * self.threshold
+                || it.least(0, Detector::score) >= settings.suspect * settings.burst_score
+        })
+    }
+}
