--- a/crates/bench/examples/moves.rs
+++ b/crates/bench/examples/moves.rs
@@ -204,7 +204,7 @@
         route: usize,
         side: Side,
         load: f64,
-    ) -> (Outcome, bool) {
+    ) -> (Outcome, bool, usize) {
         let new = side == Side::New;
         let endpoint = usize::from(new) * self.site.1 + rng.random_range(0..self.site.1);
         let (failures, slow) = self.usual[route][usize::from(new)];
@@ -243,7 +243,7 @@
             millis = millis.max(within * between(rng, 1.05, 2.0));
         }
         let latency = Duration::from_micros((millis * 1e3) as u64);
-        (Outcome { failed, latency, cold }, fault)
+        (Outcome { failed, latency, cold }, fault, endpoint)
     }
 }
 
@@ -303,6 +303,10 @@
         }
     }
 
+    fn paused(&self) -> bool {
+        matches!(self, Policy::Core { core, .. } if core.paused())
+    }
+
     fn shares(&self, share: f64, routes: usize) -> Vec<f64> {
         match self {
             Policy::Core { core, row, .. } => {
@@ -334,7 +338,8 @@
             Policy::Threshold { steps, step, changed, seen } => {
                 for (name, it) in &evidence.routes {
                     let list = seen.entry(name.clone()).or_default();
-                    list.push((now, it.new.calls, it.new.failures, it.new.slow));
+                    let new = it.new_sum(None);
+                    list.push((now, new.calls, new.failures, new.slow));
                     list.retain(|it| now - it.0 <= 10_000_000);
                 }
                 for class in world.classes() {
@@ -378,6 +383,7 @@
     Outcome {
         daemon: usize,
         route: usize,
+        endpoint: usize,
         new: bool,
         start: u64,
         failed: bool,
@@ -431,7 +437,7 @@
     let mut out = Outcomes { kind: world.kind, bad: world.bad, ..Outcomes::default() };
     let (mut calls, mut hurt, mut first_hit) = (0u64, 0u64, None);
     let (mut new_calls, mut load) = (0u64, 0.0);
-    let (mut now, mut back_at) = (0u64, None);
+    let (mut now, mut zero_at, mut done, mut paused) = (0u64, None, false, false);
     let mut failover = world.failover;
     let mut resume = 0;
     loop {
@@ -440,7 +446,17 @@
             if events.peek().is_some_and(|it| it.0.0 <= tick) {
                 let Some(Reverse((at, event))) = events.pop() else { break };
                 match event {
-                    Event::Outcome { daemon, route, new, start, failed, cold, latency, hit } => {
+                    Event::Outcome {
+                        daemon,
+                        route,
+                        endpoint,
+                        new,
+                        start,
+                        failed,
+                        cold,
+                        latency,
+                        hit,
+                    } => {
                         if hit {
                             first_hit.get_or_insert(at);
                         }
@@ -450,12 +466,12 @@
                             Outcome { failed, cold, latency: Duration::from_micros(latency) };
                         let class = &classes[route];
                         it.report.from = it.report.from.min(Time(start));
-                        it.report
-                            .routes
-                            .entry(class.route.clone())
-                            .or_default()
-                            .side(side)
-                            .add(outcome, class.within);
+                        it.report.routes.entry(class.route.clone()).or_default().add(
+                            side,
+                            endpoint,
+                            outcome,
+                            class.within,
+                        );
                         if which == 0
                             && let Some(stop) =
                                 it.guards[route].observe(&settings, Time(at), side, outcome)
@@ -474,8 +490,10 @@
                             daemons[daemon].shares.clone_from(&sent[number]);
                         }
                         let all = orders.iter().all(|it| *it == order);
-                        if out.taken && all && back_at.is_none() {
-                            back_at = Some(at);
+                        if all {
+                            let zero = sent[number].iter().all(|it| *it == 0.0);
+                            zero_at = zero.then(|| zero_at.unwrap_or(at));
+                            done = out.taken && zero;
                         }
                     }
                 }
@@ -534,7 +552,10 @@
                 }
             };
             // Shares by steering follow the measured rates every 2 s.
-            let refresh = (which == 0 && share > 0.0 && at % 2_000_000 == 0).then_some(0.0);
+            let changed = policy.paused() != paused;
+            paused = policy.paused();
+            let refresh =
+                (which == 0 && share > 0.0 && (changed || at % 2_000_000 == 0)).then_some(0.0);
             if let Some(wait) = wait.or(refresh) {
                 order += 1;
                 sent.push(if out.taken { vec![0.0; count] } else { policy.shares(share, count) });
@@ -551,7 +572,7 @@
             }
         }
         let over = match (out.taken, out.finished, first_hit) {
-            (true, _, _) => back_at.is_some(),
+            (true, _, _) => done,
             (_, Some(at), _) if !world.bad => now > at + WATCH_US,
             (_, Some(at), Some(hit)) => now > at.max(hit) + WATCH_US,
             // The old group's ready time bounds when a late fault can be taken back.
@@ -573,7 +594,7 @@
         let wanted = if it.stopped > now { 0.0 } else { it.shares[route] };
         let side = split(wanted, &mut rng);
         new_calls += u64::from(side == Side::New);
-        let (outcome, hit) = world.call(&mut rng, now, route, side, load);
+        let (outcome, hit, endpoint) = world.call(&mut rng, now, route, side, load);
         hurt += u64::from(hit);
         // A call over its target is known to be slow as soon as the target has passed.
         let latency = outcome.latency.as_micros() as u64;
@@ -582,6 +603,7 @@
         let event = Event::Outcome {
             daemon,
             route,
+            endpoint,
             new: side == Side::New,
             start: now,
             failed: outcome.failed,
@@ -594,8 +616,8 @@
     out.in_time = !out.taken && out.finished.is_some_and(|at| at <= world.deadline);
     out.hurt_share = hurt as f64 / (world.rate * world.deadline.max(now) as f64 / 1e6);
     out.hurt_share_until = hurt as f64 / calls.max(1) as f64;
-    out.zero_ms = match (first_hit, back_at) {
-        (Some(hit), Some(back)) => Some(back.saturating_sub(hit) as f64 / 1e3),
+    out.zero_ms = match (first_hit, zero_at) {
+        (Some(hit), Some(back)) if out.taken => Some(back.saturating_sub(hit) as f64 / 1e3),
         _ => None,
     };
     out
