Keep stalls and shared faults from taking a good move back

Cause: with noisy endpoints half of the good versions were taken back, and a fault of the shared backend that ended during a guard's stop looked like one of the version.

Change: the tests leave out pairs of parts of the new group's endpoints, and the effect of a stall is bounded and passes soon. Steps start at 0.05, and steering sends at most 5 % of the service's calls.

--- a/crates/bench/examples/moves.rs
+++ b/crates/bench/examples/moves.rs
@@ -9,8 +9,8 @@
 use shallottack_bench::report::{quantile, rounded};
 use shallottack_kernel::{GroupName, RouteName, ServiceName, Time};
 use shallottack_moves::{
-    Decision, Evidence, Guard, Move, MoveRequest, MoveRow, Outcome, RouteClass, Settings, Side,
-    Transition, split,
+    Decision, Evidence, Guard, Move, MoveRequest, MoveRow, Outcome, Reason, RouteClass, Settings,
+    Side, Transition, split,
 };
 
 /// Measures moves between versions.
@@ -338,7 +338,7 @@
             Policy::Threshold { steps, step, changed, seen } => {
                 for (name, it) in &evidence.routes {
                     let list = seen.entry(name.clone()).or_default();
-                    let new = it.new_sum(None);
+                    let new = it.new_sum(&[]);
                     list.push((now, new.calls, new.failures, new.slow));
                     list.retain(|it| now - it.0 <= 10_000_000);
                 }
@@ -411,6 +411,7 @@
     hurt_share_until: f64,
     zero_ms: Option<f64>,
     in_time: bool,
+    reason: Option<Reason>,
 }
 
 /// Runs one move under one policy.
@@ -613,6 +614,9 @@
         };
         events.push(Reverse((now + visible, event)));
     }
+    if let Policy::Core { row, .. } = &policy {
+        out.reason = row.reason.clone();
+    }
     out.in_time = !out.taken && out.finished.is_some_and(|at| at <= world.deadline);
     out.hurt_share = hurt as f64 / (world.rate * world.deadline.max(now) as f64 / 1e6);
     out.hurt_share_until = hurt as f64 / calls.max(1) as f64;
--- a/crates/moves/src/decide.rs
+++ b/crates/moves/src/decide.rs
@@ -125,7 +125,7 @@
         for (name, counts) in &evidence.routes {
             let Some(state) = self.routes.get_mut(name) else { continue };
             state.judge.observe(&self.settings, counts);
-            let new = counts.new_sum(None).calls;
+            let new = counts.new_sum(&[]).calls;
             state.calls += new + counts.old.calls;
             if evidence.from >= row.changed {
                 state.fresh += new;
@@ -166,8 +166,9 @@
     /// All are zero during a pause.
     pub fn shares(&self, row: &MoveRow) -> Vec<(RouteName, f64)> {
         let whole = if self.paused() { 0.0 } else { row.share };
+        let total = self.total_rate();
         let share = |(name, state): (&RouteName, &RouteState)| {
-            let rate = self.rate(state);
+            let rate = (self.rate(state), total);
             let idempotent = state.class.idempotent;
             (name.clone(), steered_share(&self.settings, whole, rate, idempotent))
         };
@@ -236,9 +237,11 @@
             return SmallVec::new();
         }
         let dwell = self.dwell(now, row).as_secs_f64();
+        let total = self.total_rate();
         let lack = |(name, state): (&RouteName, &RouteState)| {
             let rate = self.rate(state);
-            let share = steered_share(&self.settings, row.share, rate, state.class.idempotent);
+            let share =
+                steered_share(&self.settings, row.share, (rate, total), state.class.idempotent);
             // A route too sparse for the full number needs half of what its rate promises.
             let promised = (rate * share * dwell / 2.0) as u64;
             let needed = self.settings.step_calls.min(promised.max(1));
@@ -252,6 +255,10 @@
         self.routes.iter().filter_map(lack).collect()
     }
 
+    fn total_rate(&self) -> f64 {
+        self.routes.values().map(|it| self.rate(it)).sum()
+    }
+
     /// Returns the calls per second of a route.
     fn rate(&self, state: &RouteState) -> f64 {
         let time = self.since.map_or(0.0, |since| self.last.since(since).as_secs_f64());
--- a/crates/moves/src/evidence.rs
+++ b/crates/moves/src/evidence.rs
@@ -85,11 +85,11 @@
         }
     }
 
-    /// Returns the sum over the endpoints of the new group, without those of one part if given.
-    pub fn new_sum(&self, without: Option<usize>) -> Counts {
+    /// Returns the sum over the endpoints of the new group but for those of the parts `without`.
+    pub fn new_sum(&self, without: &[usize]) -> Counts {
         let mut sum = Counts::default();
         for (part, counts) in self.new.iter().enumerate() {
-            if Some(part) != without {
+            if !without.contains(&part) {
                 sum.merge(counts);
             }
         }
--- a/crates/moves/src/guard.rs
+++ b/crates/moves/src/guard.rs
@@ -16,8 +16,8 @@
 const LEAST_RATE: f64 = 0.02;
 /// Least rate of bad calls that the guard looks for; slower faults are left to the fleet.
 const BURST_RATE: f64 = 0.25;
-/// Weight of one call in the rate of the old group.
-const OLD_WEIGHT: f64 = 0.05;
+/// Weight of one call in the recent rate of its group.
+const WEIGHT: f64 = 0.05;
 
 /// Guard of one daemon for one route: a cumulative sum test of the new group's bad calls against
 /// twice the larger of the class target and the old group's recent rate.
@@ -26,6 +26,7 @@
     within: std::time::Duration,
     allowed: f64,
     old_rate: f64,
+    new_rate: f64,
     score: f64,
     stopped: Option<Time>,
 }
@@ -37,6 +38,7 @@
             within: class.within,
             allowed: class.failures.max(class.slow),
             old_rate: 0.0,
+            new_rate: 0.0,
             score: 0.0,
             stopped: None,
         }
@@ -52,9 +54,10 @@
     ) -> Option<StopSending> {
         let bad = outcome.failed || (!outcome.cold && outcome.latency > self.within);
         if side == Side::Old {
-            self.old_rate += OLD_WEIGHT * (f64::from(u8::from(bad)) - self.old_rate);
+            self.old_rate += WEIGHT * (f64::from(u8::from(bad)) - self.old_rate);
             return None;
         }
+        self.new_rate += WEIGHT * (f64::from(u8::from(bad)) - self.new_rate);
         if self.stopped(now) {
             return None;
         }
@@ -62,7 +65,8 @@
         let burst = (3.0 * usual).clamp(BURST_RATE, 0.9);
         let gain = if bad { burst / usual } else { (1.0 - burst) / (1.0 - usual) };
         self.score = (self.score + gain.ln()).max(0.0);
-        if self.score < settings.guard_score {
+        // During a fault of the backend both groups are bad, and stopping would not help.
+        if self.score < settings.guard_score || self.new_rate < 2.0 * self.old_rate {
             return None;
         }
         self.score = 0.0;
--- a/crates/moves/src/settings.rs
+++ b/crates/moves/src/settings.rs
@@ -28,7 +28,7 @@
     pub tolerance: f64,
     /// Observations of a route over which the false alarm rate is spread.
     pub horizon: u32,
-    /// Largest logarithm of the evidence of one observation. One short stall of an endpoint then
+    /// Largest logarithm of the evidence of one observation with several bad calls. One short stall of an endpoint then
     /// never takes a move back.
     pub most_evidence: f64,
     /// Logarithm of the evidence at which the test against the class target pauses the move.
@@ -41,6 +41,9 @@
     pub steered_rate: f64,
     /// Largest share that steering gives.
     pub steered_share: f64,
+    /// Largest part of the service's calls that steering sends from one route, so that a sparse
+    /// service is not moved faster by it.
+    pub steered_part: f64,
     /// Time for which the old group stays ready after the move.
     pub ready: Duration,
     /// Part of the time from start to deadline in which missing evidence is reported.
@@ -55,7 +58,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Settings {
-            steps: vec![0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0],
+            steps: vec![0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0],
             control: 0.05,
             least_dwell: Duration::from_secs(5),
             pace: 0.7,
@@ -64,11 +67,12 @@
             tolerance: 2.0,
             horizon: 24_000,
             most_evidence: 2.5,
-            burst_score: 20.0,
+            burst_score: 14.0,
             pause_score: 7.0,
             suspect: 0.5,
-            steered_rate: 5.0,
+            steered_rate: 40.0,
             steered_share: 0.3,
+            steered_part: 0.05,
             ready: Duration::from_secs(600),
             risk: 0.2,
             guard_hold: Duration::from_secs(3),
