Compare what callers are told under failures with the ledgers

Cause: at most once, true refusals, whole answers and planned stops had no test with real processes that are killed and frozen.

Ruled out: tests that only drop futures in one process, since they miss half-written sockets and frozen peers.

Change: crates/bench::faults sends requests through a deployment while daemons and backend servers are killed or frozen, the platform goes down or loses answers and backend servers answer badly, then stops daemons gracefully under load; a short run with 4 endpoints is a test. Tests of several daemons in one process cover outage, repeats of keyed requests with lost answers, racing operators, a planned stop and an empty start.

--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -84,7 +84,8 @@
             platform,
             platform_address,
             endpoints: Vec::new(),
-            pool: Pool::new(PoolSettings::default()),
+            // The ledger of a long run is large.
+            pool: Pool::new(PoolSettings { body_bytes: 256 << 20, ..PoolSettings::default() }),
         };
         for service in cluster.description.services.clone() {
             for number in 1..=service.endpoints {
--- /dev/null
+++ b/crates/bench/tests/suite/main.rs
@@ -0,0 +1,3 @@
+//! Tests with separate processes, and of whole fleets.
+
+mod processes;
--- a/crates/shallottackd/src/calls/backend.rs
+++ b/crates/shallottackd/src/calls/backend.rs
@@ -90,7 +90,11 @@
 
     /// Takes the address and slots of a backend server that announced itself.
     pub fn announce(self: &Arc<Self>, address: SocketAddr, slots: u32) {
-        self.lock().admission.set_slots(slots);
+        {
+            let mut state = self.lock();
+            let starts = state.admission.set_slots(self.clock.now(), slots);
+            state.release(starts);
+        }
         self.address.store(Some(Arc::new(address)));
         self.server.store(ANNOUNCED, Ordering::SeqCst);
         async_std::task::spawn(Arc::clone(self).probe(address, slots));
