Test distribution against a simulated network and platform

Cause: the core had no tests, and its faults only show when messages cross, repeat or get lost and daemons restart or pause.

Change: a deterministic driver with seeded loss, repeats, reordering, partitions, pauses and restarts from nothing.

Ruled out: waiting on the wall clock or on loopback sockets, since a failing schedule could not be replayed.

A failed source is replaced after 6 to 8 s rather than 3 s, since a candidate watches the row for a whole ttl of its own clock; pull repair covers the gap.

--- /dev/null
+++ b/crates/distribution/tests/suite/floor.rs
@@ -0,0 +1,186 @@
+//! The version floor: no endpoint goes back by a restart.
+
+use rand_chacha::ChaCha8Rng;
+use shallottack_config::Version;
+use shallottack_distribution::{
+    Action, Distribution, EncodedDelta, Input, Mark, Message, Settings, Unavailable,
+};
+use shallottack_kernel::{EndpointId, Time};
+
+use crate::{
+    platform::{encode, next_delta},
+    sim::{SECOND, Sim},
+};
+
+/// Guards against going back (R1): a daemon restarts empty and reaches only a lagging peer, while
+/// the table names a newer version.
+#[test]
+fn restart_behind_a_lagging_peer_waits_for_the_floor() {
+    let mut sim = Sim::settled(21, &[1, 1], Settings::default(), 2);
+    let old = sim.platform.head();
+    sim.faults.cut_platform.insert("dc1".to_owned());
+    sim.faults.cut_centres.insert("dc1".to_owned());
+    sim.commit(None);
+    sim.run(3 * SECOND);
+    assert_eq!((sim.in_force(0), sim.in_force(1)), (Some(old.next()), Some(old)));
+    sim.restart(0);
+    sim.faults.cut_centres.clear();
+    let held = sim.run_until(8 * SECOND, |sim| sim.core(0).held() == old);
+    assert!(held.is_some(), "the lagging peer was not reached");
+    assert_eq!(sim.in_force(0), None);
+    sim.converge(30 * SECOND);
+}
+
+/// Guards against going back (R1) when the table is down too: the floor comes from peers, and a
+/// lagging peer that heard of the endpoint's version keeps it from going below.
+#[test]
+fn restart_in_an_outage_takes_the_floor_from_peers() {
+    let mut sim = Sim::settled(22, &[1, 2], Settings::default(), 2);
+    let old = sim.platform.head();
+    sim.faults.cut_platform.insert("dc1".to_owned());
+    sim.faults.loss = 0.0;
+    sim.commit(None);
+    // One message names the new version to the lagging peer, then the link is cut.
+    sim.run_until(8 * SECOND, |sim| sim.in_force(0) > Some(old));
+    sim.faults.cut_centres.insert("dc0".to_owned());
+    let mark = Mark { version: old.next(), in_force: true, source: None };
+    let from = sim.nodes[0].peer.endpoint.clone();
+    sim.input(1, Input::Message { from, message: Message::Probe { mark } });
+    sim.faults.table_down = true;
+    sim.restart(0);
+    sim.faults.cut_centres.clear();
+    sim.run(30 * SECOND);
+    assert_eq!((sim.core(0).held(), sim.in_force(0)), (old, None));
+    sim.faults.table_down = false;
+    sim.converge(30 * SECOND);
+}
+
+/// Guards against a restart that an outage of the table blocks although peers are in force.
+#[test]
+fn restart_in_an_outage_gets_ready_from_peers() {
+    let mut sim = Sim::settled(27, &[20, 20], Settings::default(), 2);
+    sim.faults.table_down = true;
+    for i in [3, 25, 7] {
+        sim.restart(i);
+        println!("ready after {:?}", sim.converge(15 * SECOND));
+    }
+}
+
+/// Guards against serving a version from nowhere: with the table down and no peer in force, a
+/// daemon stays not ready, and recovers with the table.
+#[test]
+fn whole_fleet_restarted_in_an_outage_is_not_ready() {
+    let mut sim = Sim::settled(23, &[10, 10], Settings::default(), 70);
+    sim.faults.table_down = true;
+    (0..20).for_each(|i| sim.restart(i));
+    sim.run(60 * SECOND);
+    assert!((0..20).all(|i| sim.in_force(i).is_none()));
+    sim.faults.table_down = false;
+    println!("ready {:?} after the table", sim.converge(30 * SECOND));
+}
+
+/// Guards against a deadlock: when fewer daemons than the floor asks for survive an outage, the
+/// others still get ready from them.
+#[test]
+fn two_survivors_in_an_outage_suffice() {
+    let mut sim = Sim::settled(24, &[20], Settings::default(), 70);
+    sim.faults.table_down = true;
+    (2..20).for_each(|i| sim.restart(i));
+    println!("ready after {:?}", sim.converge(40 * SECOND));
+}
+
+/// Guards against a floor that is too low: an answer to a query of an earlier life may be older
+/// than what the endpoint had in force since, and must not count.
+#[test]
+fn answer_to_an_earlier_life_is_ignored() {
+    let (mut core, mut rng, nonce) = querying_core(2);
+    let mark = Mark { version: Version { epoch: 0, seq: 1 }, in_force: true, source: None };
+    let mut answer = |nonce| {
+        let message = Message::FloorAnswer { nonce, mark: mark.clone(), yours: None };
+        let from = "ep-0-1".parse().unwrap();
+        core.handle(Time::from_millis(9_100), &mut rng, Input::Message { from, message });
+        core.floor()
+    };
+    assert_eq!(answer(nonce ^ 1), None);
+    assert_eq!(answer(nonce), Some(mark.version));
+}
+
+/// Guards against a partially applied or invalid version (R2, R3): a delta whose route lacks its
+/// service and a torn snapshot change nothing.
+#[test]
+fn invalid_versions_change_nothing() {
+    let (mut core, mut rng) = lone_core(2);
+    let now = Time::from_millis(9_000);
+    core.handle(now, &mut rng, Input::HeadRead(Ok(None)));
+    let mut sim = Sim::new(25, &[1], Settings::default());
+    sim.platform.commit();
+    let catalog = sim.platform.history[0].clone();
+    let mut delta = next_delta(&Default::default());
+    delta.upserts.remove(0);
+    let (body, whole) = (encode(&delta), encode(catalog.as_ref()));
+    let mut missing = catalog.as_ref().clone();
+    missing.services.clear();
+    let mark = Mark { version: catalog.version, in_force: true, source: None };
+    let encoded = EncodedDelta { from: delta.from, to: delta.to, body };
+    let message = Message::Push { mark: mark.clone(), deltas: vec![encoded] };
+    let snapshot = |body| Message::Snapshot { mark: mark.clone(), body };
+    let from: EndpointId = "ep-0-1".parse().unwrap();
+    for message in [message, snapshot(whole[..100].into()), snapshot(encode(&missing))] {
+        let input = Input::Message { from: from.clone(), message };
+        core.handle(now, &mut rng, input);
+        assert_eq!(core.in_force(), Some(Version::ZERO));
+        assert_eq!(**core.catalog().unwrap(), Default::default());
+    }
+    assert_eq!(core.counters().rejected, 3);
+}
+
+/// Guards against a floor that one lagging peer sets because two others had restarted too: fewer
+/// than three peers in force count only after a wait, which gives the others time to answer.
+#[test]
+fn floor_waits_for_peers_in_force() {
+    let (mut core, mut rng, nonce) = querying_core(5);
+    let old = Version { epoch: 0, seq: 1 };
+    let mut answer = |millis, i: usize, version, in_force| {
+        let mark = Mark { version, in_force, source: None };
+        let message = Message::FloorAnswer { nonce, mark, yours: None };
+        let from = format!("ep-0-{i}").parse().unwrap();
+        core.handle(Time::from_millis(millis), &mut rng, Input::Message { from, message });
+        core.floor()
+    };
+    assert_eq!(answer(9_100, 1, Version::ZERO, false), None);
+    assert_eq!(answer(9_200, 2, Version::ZERO, false), None);
+    assert_eq!(answer(9_300, 3, old, true), None);
+    assert_eq!(answer(9_400, 4, old.next(), true), None);
+    assert_eq!(answer(14_000, 4, old.next(), true), Some(old.next()));
+}
+
+/// Guards against going back (R1) by a snapshot that was on its way while newer deltas came.
+#[test]
+fn older_snapshot_changes_nothing() {
+    let mut sim = Sim::settled(29, &[2], Settings::default(), 3);
+    let head = sim.platform.head();
+    let from = sim.nodes[1].peer.endpoint.clone();
+    let mark = Mark { version: head, in_force: true, source: None };
+    let body = encode(sim.platform.history[1].as_ref());
+    sim.input(0, Input::Message { from, message: Message::Snapshot { mark, body } });
+    assert_eq!((sim.core(0).held(), sim.in_force(0)), (head, Some(head)));
+}
+
+/// Returns a core that knows `members` daemons and has read nothing yet.
+fn lone_core(members: usize) -> (Distribution, ChaCha8Rng) {
+    let mut sim = Sim::new(26, &[members], Settings::default());
+    (sim.nodes[0].core.take().unwrap(), sim.rng)
+}
+
+/// Returns a core whose read of the head row failed at 9 s, and the nonce of its floor queries.
+fn querying_core(members: usize) -> (Distribution, ChaCha8Rng, u64) {
+    let (mut core, mut rng) = lone_core(members);
+    let now = Time::from_millis(9_000);
+    core.handle(now, &mut rng, Input::HeadRead(Err(Unavailable)));
+    let actions = core.handle(now, &mut rng, Input::Tick);
+    let nonce = actions.iter().find_map(|it| match it {
+        Action::Send { message: Message::FloorQuery { nonce }, .. } => Some(*nonce),
+        _ => None,
+    });
+    (core, rng, nonce.expect("a query follows a failed read"))
+}
--- /dev/null
+++ b/crates/distribution/tests/suite/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the distribution core against a simulated network and platform.
+
+mod floor;
+mod lease;
+mod platform;
+mod repair;
+mod sim;
+mod transfer;
+mod tree;
--- /dev/null
+++ b/crates/distribution/tests/suite/transfer.rs
@@ -0,0 +1,66 @@
+//! Snapshot transfers and starts of many daemons at once.
+
+use shallottack_distribution::Settings;
+use shallottack_kernel::Time;
+
+use crate::sim::{SECOND, Sim};
+
+/// Most transfers that one daemon sent in any second.
+fn busiest_second(sim: &Sim) -> usize {
+    let in_second = |times: &[Time], i: usize| {
+        times[i..].iter().take_while(|at| **at - times[i] < SECOND).count()
+    };
+    let times = sim.nodes.iter().map(|it| &it.transfers);
+    times.flat_map(|it| (0..it.len()).map(move |i| in_second(it, i))).max().unwrap_or(0)
+}
+
+/// Guards against daemons that restart at once and overload the few peers that hold the
+/// configuration: 350 of 370 restart, and no peer serves more than 32 transfers in a second.
+#[test]
+fn mass_restart_bounds_transfers() {
+    let mut sim = Sim::settled(41, &[370], Settings::default(), 300);
+    let source = sim.sources()[0];
+    for i in (0..370).filter(|i| *i != source).take(350) {
+        sim.restart(i);
+    }
+    let took = sim.converge(18 * SECOND);
+    let deferred: u64 = (0..370).map(|i| sim.core(i).counters().deferred).sum();
+    let busiest = busiest_second(&sim);
+    println!("350 of 370 restarted: {took:?}, busiest {busiest}/s, {deferred} deferred");
+    assert!(busiest <= 32);
+}
+
+/// Guards against a single holder that is asked by all others at once: with a flat tree, the
+/// source's announcement of its first snapshot brings 199 requests together.
+#[test]
+fn one_holder_serves_all_within_the_bound() {
+    let settings = Settings { arity: 400, ..Settings::default() };
+    let mut sim = Sim::new(42, &[200], settings);
+    (0..300).for_each(|_| drop(sim.platform.commit()));
+    let took = sim.converge(30 * SECOND);
+    let busiest = busiest_second(&sim);
+    let deferred: u64 = (0..200).map(|i| sim.core(i).counters().deferred).sum();
+    println!("flat tree of 200 started: {took:?}, busiest {busiest}/s, {deferred} deferred");
+    assert!(busiest <= 32);
+}
+
+/// Guards against a restart of the whole fleet that overloads the table or does not come back:
+/// all of three data centres restart at the same moment.
+#[test]
+fn whole_fleet_restart_bounds_table_reads() {
+    let mut sim = Sim::settled(43, &[120, 120, 120], Settings::default(), 300);
+    let before = sim.head_reads.len();
+    let start = sim.now;
+    (0..360).for_each(|i| sim.restart(i));
+    let took = sim.converge(30 * SECOND);
+    let reads = &sim.head_reads[before..];
+    let per_second = |s: u32| {
+        let from = start + s * SECOND;
+        reads.iter().filter(|(at, _)| *at >= from && *at - from < SECOND).count()
+    };
+    let busiest = (0..30).map(per_second).max().unwrap_or(0);
+    println!("360 restarted: {took:?}, busiest second of the table {busiest} head reads");
+    // 360 in 5 s are 72/s on average.
+    assert!(busiest <= 110);
+    assert!(busiest_second(&sim) <= 32);
+}
