Check the steady message traffic of distribution

Cause: each daemon has 2 KB/s for all control traffic, and nothing measured the part of distribution.

Change: the simulated network counts the bytes that each daemon sends, and a test runs one data centre at full size with a change every 5.4 s.

Ruled out: measuring on sockets here, since the envelope and HTTP/2 belong to the rpc crate.

--- a/crates/distribution/tests/suite/sim.rs
+++ b/crates/distribution/tests/suite/sim.rs
@@ -45,6 +45,8 @@
     woken_at: Time,
     /// Times of the snapshots sent.
     pub transfers: Vec<Time>,
+    /// Bytes of messages sent, without their envelopes.
+    pub sent_bytes: usize,
 }
 
 enum Event {
@@ -91,6 +93,7 @@
                     paused_until: Time(0),
                     woken_at: Time(u64::MAX),
                     transfers: Vec::new(),
+                    sent_bytes: 0,
                 });
             }
         }
@@ -293,6 +296,8 @@
         if let Message::Snapshot { .. } = message {
             self.nodes[from].transfers.push(self.now);
         }
+        let bytes = postcard::to_stdvec(message).unwrap();
+        self.nodes[from].sent_bytes += bytes.len();
         let [ours, theirs] = [from, i].map(|it| self.nodes[it].peer.data_centre.as_str());
         let cut =
             ours != theirs && [ours, theirs].iter().any(|it| self.faults.cut_centres.contains(*it));
@@ -300,7 +305,6 @@
         if cut || dropped || self.rng.random_bool(self.faults.loss) {
             return;
         }
-        let bytes = postcard::to_stdvec(message).unwrap();
         let copies = 1 + usize::from(self.rng.random_bool(self.faults.duplicates));
         for _ in 0..copies {
             let message = postcard::from_bytes(&bytes).unwrap();
--- a/crates/distribution/tests/suite/tree.rs
+++ b/crates/distribution/tests/suite/tree.rs
@@ -21,6 +21,23 @@
     assert!(took < SECOND, "took {took:?}");
 }
 
+/// Guards against control traffic above 2 KB/s per daemon: 370 daemons, a change every 5.4 s
+/// (16,000 a day) for 60 s.
+#[test]
+fn steady_traffic_stays_in_budget() {
+    let mut sim = Sim::settled(6, &[370], Settings::default(), 1);
+    sim.nodes.iter_mut().for_each(|it| it.sent_bytes = 0);
+    for _ in 0..11 {
+        sim.commit(None);
+        sim.run(SECOND * 54 / 10);
+    }
+    let rates: Vec<_> = sim.nodes.iter().map(|it| it.sent_bytes * 10 / 594).collect();
+    let mean = rates.iter().sum::<usize>() / rates.len();
+    let most = *rates.iter().max().unwrap();
+    println!("bytes/s sent per daemon: mean {mean}, most {most}");
+    assert!(mean < 500 && most < 2_000, "mean {mean}, most {most}");
+}
+
 /// Guards against a source that keeps a report which misses daemons or hides a lagging one.
 #[test]
 fn report_covers_the_data_centre_and_names_the_lagging() {
