--- /dev/null
+++ b/crates/distribution/tests/suite/main.rs
@@ -0,0 +1,10 @@
+//! Tests of the distribution core against a simulated network and platform.
+
+mod explore;
+mod floor;
+mod lease;
+mod platform;
+mod repair;
+mod sim;
+mod transfer;
+mod tree;
