--- a/crates/routing/src/outcome.rs
+++ b/crates/routing/src/outcome.rs
@@ -90,10 +90,11 @@
         // A retry after a run multiplies the runs further down and is paid from the budget that
         // travels with the call. A retry of a call that was not run causes at most the one run
         // that the caller asked for and is bounded per hop and by the tokens of the class.
-        let allowed = not_run || (state.idempotent && state.kept > 0);
+        let allowed = not_run || state.kept > 0;
         if !useful || !allowed || state.retried >= self.settings.hop_retries {
             return None;
         }
+        // At most one run of a non-idempotent call.
         if !state.idempotent && state.may_have_run {
             return None;
         }
--- a/crates/routing/tests/suite/deep.rs
+++ b/crates/routing/tests/suite/deep.rs
@@ -108,3 +108,13 @@
     let next = fixture.outcome(CallId(2), Outcome::Unreachable);
     assert!(matches!(next, Next::Retry { retries: 0, .. }));
 }
+
+/// Guards against a connection that was refused costing the hops further down their budget.
+#[test]
+fn attempt_that_was_not_run_leaves_the_budget_whole() {
+    let mut fixture = Fixture::new(candidates(5));
+    let info = CallInfo { retries: Some(4), ..call(1, fixture.now + ms(1000)) };
+    assert!(matches!(fixture.choose(&info), Choice::Send { retries: 3, .. }));
+    let next = fixture.outcome(CallId(1), Outcome::Unreachable);
+    assert!(matches!(next, Next::Retry { retries: 3, .. }), "{next:?}");
+}
