--- /dev/null
+++ b/crates/moves/tests/suite/judge.rs
@@ -0,0 +1,101 @@
+//! The sequential tests.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+use shallottack_moves::{Counts, Judge, Measure, Outcome, RouteEvidence, Settings, Side};
+
+use crate::world::{FAILED, GOOD, class};
+
+fn judge(settings: &Settings) -> Judge {
+    Judge::new(settings, 1, &class())
+}
+
+/// Feeds windows of `calls` calls per group, in which `bad` of 100 calls of the given endpoints of
+/// the new group fail, and `old_bad` of 100 of the old group.
+fn feed(judge: &mut Judge, windows: usize, endpoints: &[usize], bad: f64, old_bad: f64) {
+    let settings = Settings::default();
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    for _ in 0..windows {
+        let mut counts = RouteEvidence::default();
+        for call in 0..60 {
+            let mut outcome = |rate: f64| if rng.random::<f64>() < rate { FAILED } else { GOOD };
+            let rate = if endpoints.contains(&(call % 6)) { bad } else { 0.0 };
+            counts.add(Side::New, call, outcome(rate), class().within);
+            counts.add(Side::Old, call, outcome(old_bad), class().within);
+        }
+        judge.observe(&settings, &counts);
+    }
+}
+
+const ALL: [usize; 6] = [0, 1, 2, 3, 4, 5];
+
+/// Guards against a faulty version that goes on.
+#[test]
+fn faulty_version_is_found_within_2_s() {
+    let mut it = judge(&Settings::default());
+    feed(&mut it, 20, &ALL, 0.1, 0.0);
+    assert_eq!(it.alarm(), Some(Measure::Failures));
+}
+
+/// Guards against a fault of a shared backend that takes back a good version.
+#[test]
+fn shared_fault_is_not_the_versions() {
+    let mut it = judge(&Settings::default());
+    feed(&mut it, 50, &ALL, 0.0, 0.0);
+    feed(&mut it, 300, &ALL, 0.6, 0.6);
+    assert_eq!(it.alarm(), None);
+    assert_eq!(it.burst(Settings::default().burst_score), None);
+}
+
+/// Guards against stalls of two endpoints that take back a good version.
+#[test]
+fn stalls_of_two_endpoints_are_not_the_versions() {
+    let mut it = judge(&Settings::default());
+    feed(&mut it, 50, &ALL, 0.0, 0.0);
+    feed(&mut it, 10, &[1, 4], 0.9, 0.0);
+    assert_eq!(it.alarm(), None);
+    assert_eq!(it.burst(Settings::default().burst_score), None);
+    feed(&mut it, 20, &[1, 3, 4], 0.9, 0.0);
+    assert_eq!(it.alarm(), Some(Measure::Failures));
+}
+
+/// Guards against a cold start that is taken for slowness.
+#[test]
+fn cold_calls_are_not_timed() {
+    let mut counts = Counts::default();
+    let slow = Outcome { latency: Duration::from_millis(300), ..GOOD };
+    counts.add(Outcome { cold: true, ..slow }, class().within);
+    assert_eq!((counts.calls, counts.timed, counts.slow), (1, 0, 0));
+    counts.add(slow, class().within);
+    assert_eq!((counts.calls, counts.timed, counts.slow), (2, 1, 1));
+}
+
+/// Guards against a comparison whose false alarms are more frequent than stated.
+#[test]
+fn false_alarms_keep_to_the_stated_rate() {
+    let settings = Settings { false_alarms: 0.05, horizon: 80, ..Settings::default() };
+    let mut rng = ChaCha8Rng::seed_from_u64(11);
+    let mut alarms = 0;
+    for _ in 0..400 {
+        let mut it = Judge::new(&settings, 1, &class());
+        for _ in 0..80 {
+            let mut counts = RouteEvidence::default();
+            // At the edge of the tolerance: the new group is twice as bad.
+            for (side, calls, rate) in [(Side::New, 20, 0.08), (Side::Old, 60, 0.04)] {
+                for call in 0..calls {
+                    let outcome = if rng.random::<f64>() < rate { FAILED } else { GOOD };
+                    counts.add(side, call, outcome, class().within);
+                }
+            }
+            it.observe(&settings, &counts);
+            if it.alarm().is_some() {
+                alarms += 1;
+                break;
+            }
+        }
+    }
+    // 0.05 of 400 and three standard deviations.
+    assert!(alarms <= 33, "{alarms} false alarms in 400 moves");
+}
