--- a/crates/bench/examples/moves.rs
+++ b/crates/bench/examples/moves.rs
@@ -258,7 +258,7 @@
 enum Policy {
     Core {
         core: Box<Move>,
-        row: MoveRow,
+        row: Box<MoveRow>,
         settings: Settings,
         epoch: u64,
     },
@@ -293,7 +293,7 @@
             unreachable!("a service without a row can be moved")
         };
         let core = Box::new(Move::new(settings.clone(), &world.classes()));
-        Policy::Core { core, row, settings, epoch: 1 }
+        Policy::Core { core, row: Box::new(row), settings, epoch: 1 }
     }
 
     fn replace_holder(&mut self, world: &World) {
@@ -327,7 +327,7 @@
                 let (Transition::Write(next) | Transition::Fenced(next)) = next else {
                     return Act::Nothing;
                 };
-                *row = next;
+                **row = next;
                 match decision {
                     Decision::Raise { share, .. } => Act::Share(share),
                     Decision::TakeBack { .. } => Act::Back,
