Compare stopped groups in the same windows only

Change: the rate of the old group is weighed by the new group's calls in the same observation.

Ruled out: longer pauses, since the old group was well by then.

Measured: the new test fails with the earlier code; 28 tests pass.

--- a/crates/bench/examples/moves.rs
+++ b/crates/bench/examples/moves.rs
@@ -1,17 +1,24 @@
 //! Measures the decisions that move traffic between versions, with generated outcomes of calls in
 //! virtual time, beside two simple policies.
 
-use std::{cmp::Reverse, collections::BTreeMap, collections::BinaryHeap, time::Duration};
+use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
 use gumdrop::Options;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use serde_json::{Value, json};
 use shallottack_bench::report::{quantile, rounded};
-use shallottack_kernel::{GroupName, RouteName, ServiceName, Time};
-use shallottack_moves::{
-    Decision, Evidence, Guard, Move, MoveRequest, MoveRow, Outcome, Reason, RouteClass, Settings,
-    Side, Transition, split,
-};
+use shallottack_kernel::Time;
+use shallottack_moves::{Evidence, Guard, Outcome, Reason, Settings, Side, split};
+
+#[path = "moves/compare.rs"]
+mod compare;
+#[path = "moves/policy.rs"]
+mod policy;
+#[path = "moves/world.rs"]
+mod world;
+
+use policy::{Act, Policy};
+use world::{KINDS, World, between, exponential, world};
 
 /// Measures moves between versions.
 #[derive(Debug, Options)]
@@ -24,24 +31,11 @@
     seed: u64,
     #[options(help = "print each missed move to standard error")]
     verbose: bool,
+    #[options(help = "compare sequential tests instead of running moves")]
+    compare: bool,
 }
 
-const KINDS: [&str; 11] = [
-    "good",
-    "fails-at-once",
-    "fails-late",
-    "slow-under-load",
-    "one-route",
-    "shared-backend",
-    "sparse-good",
-    "sparse-bad",
-    "cold-start",
-    "noisy-good",
-    "noisy-bad",
-];
 const POLICIES: [&str; 3] = ["decisions", "fixed_steps", "all_at_once"];
-/// Calls per second and endpoint: 1.5 million over 3,700 endpoints.
-const ENDPOINT_RATE: f64 = 405.0;
 const REPORT_US: u64 = 200_000;
 const TICK_US: u64 = 100_000;
 const LOST_SHARE: f64 = 0.02;
@@ -50,326 +44,6 @@
 /// Time for which a finished good move is watched, and a bad one after its fault shows.
 const WATCH_US: u64 = 120_000_000;
 
-/// Daemons of the deployment, endpoints of the service, its mean service time in milliseconds, and
-/// its routes: name, part of the calls, target in milliseconds, allowed failures, allowed slow
-/// calls, idempotent.
-type Site = (usize, usize, f64, &'static [(&'static str, f64, u64, f64, f64, bool)]);
-const SITES: [Site; 4] = [
-    (
-        11,
-        6,
-        5.0,
-        &[("placements", 0.9, 150, 0.005, 0.05, true), ("renewals", 0.1, 500, 0.001, 0.01, false)],
-    ),
-    (11, 5, 3.0, &[("rounds", 1.0, 80, 0.001, 0.01, true)]),
-    (9, 5, 5.0, &[("orders", 1.0, 500, 0.001, 0.01, false)]),
-    (
-        9,
-        4,
-        3.0,
-        &[("shelves", 0.8, 200, 0.005, 0.05, true), ("urgent", 0.2, 60, 0.001, 0.01, true)],
-    ),
-];
-
-/// Time in microseconds from which an endpoint is slow, until when, until when it says so, and the
-/// factor of its latency at the start.
-type Cold = (u64, u64, u64, f64);
-
-/// The truth about one move.
-struct World {
-    kind: usize,
-    site: Site,
-    rate: f64,
-    deadline: u64,
-    bad: bool,
-    /// Probability that the fault hits a call, whether as an error, and from when.
-    strength: f64,
-    errors: bool,
-    onset: u64,
-    /// Calls per second to the new group from which the fault shows.
-    load: f64,
-    route: Option<usize>,
-    /// Part of the calls that the fault can hit.
-    part: f64,
-    episodes: Vec<(u64, u64)>,
-    stalls: Vec<Vec<(u64, u64)>>,
-    cold: Vec<Vec<Cold>>,
-    usual: Vec<[(f64, f64); 2]>,
-    failover: Option<u64>,
-}
-
-fn between(rng: &mut StdRng, low: f64, high: f64) -> f64 {
-    low + rng.random::<f64>() * (high - low)
-}
-
-fn exponential(rng: &mut StdRng) -> f64 {
-    -(1.0 - rng.random::<f64>()).ln()
-}
-
-fn world(rng: &mut StdRng, run: u64) -> World {
-    let kind = (run % KINDS.len() as u64) as usize;
-    let name = KINDS[kind];
-    let site = SITES[rng.random_range(0..SITES.len())];
-    let full = ENDPOINT_RATE * site.1 as f64 * between(rng, 0.4, 1.2);
-    let rate = if name.starts_with("sparse") { between(rng, 2.0, 20.0) } else { full };
-    let deadline = (between(rng, 300.0, 900.0) * 1e6) as u64;
-    let bad =
-        !matches!(name, "good" | "shared-backend" | "sparse-good" | "cold-start" | "noisy-good");
-    let errors = rng.random::<bool>() && name != "slow-under-load";
-    let allowed = site.3.iter().map(|it| if errors { it.3 } else { it.4 }).fold(0.0, f64::max);
-    let least = (4.0 * allowed).max(0.05f64);
-    let strength = (between(rng, least.ln(), 0.0)).exp();
-    let late = matches!(name, "fails-late" | "noisy-bad") || name == "sparse-bad" && rng.random();
-    let onset = if late { (deadline as f64 * between(rng, 0.02, 1.2)) as u64 } else { 0 };
-    let load = if name == "slow-under-load" { rate * between(rng, 0.05, 0.9) } else { 0.0 };
-    let one = name == "one-route";
-    let route = (one && site.3.len() > 1).then(|| rng.random_range(0..site.3.len()));
-    let part = if one && site.3.len() == 1 { 0.2 } else { 1.0 };
-    let mut spans = |count: usize, least: f64, most: f64| -> Vec<(u64, u64)> {
-        (0..count)
-            .map(|_| {
-                let from = (deadline as f64 * rng.random::<f64>()) as u64;
-                (from, from + (between(rng, least, most) * 1e6) as u64)
-            })
-            .collect()
-    };
-    let episodes = if name == "shared-backend" { spans(3, 10.0, 60.0) } else { Vec::new() };
-    let noisy = name.starts_with("noisy");
-    let stall_count = if noisy { (deadline / 60_000_000) as usize } else { 0 };
-    let stalls = (0..2 * site.1).map(|_| spans(stall_count, 0.1, 1.0)).collect();
-    let cold =
-        (0..2 * site.1).map(|at| cold_starts(rng, name == "cold-start", at >= site.1, deadline));
-    let cold = cold.collect();
-    let usual = site.3.iter().map(|it| {
-        let high = if noisy { 0.9 } else { 0.5 };
-        let (failures, slow) = (it.3 * between(rng, 0.05, high), it.4 * between(rng, 0.05, high));
-        let factor = between(rng, 0.7, 1.3);
-        [(failures, slow), (failures * factor, slow * factor)]
-    });
-    let usual = usual.collect();
-    let failover =
-        (rng.random::<f64>() < 0.2).then(|| (deadline as f64 * rng.random::<f64>()) as u64);
-    World {
-        kind,
-        site,
-        rate,
-        deadline,
-        bad,
-        strength,
-        errors,
-        onset,
-        load,
-        route,
-        part,
-        episodes,
-        stalls,
-        cold,
-        usual,
-        failover,
-    }
-}
-
-fn cold_starts(rng: &mut StdRng, cold: bool, new: bool, deadline: u64) -> Vec<Cold> {
-    let restarts = if cold { 2 } else { 0 };
-    let starts = (0..restarts).map(|_| (deadline as f64 * rng.random::<f64>()) as u64);
-    let mut starts: Vec<u64> = starts.collect();
-    if cold && new {
-        starts.push(0);
-    }
-    let one = |from: u64| {
-        let length = between(rng, 5.0, 20.0) * 1e6;
-        let told = length * between(rng, 0.7, 1.3);
-        (from, from + length as u64, from + told as u64, between(rng, 5.0, 30.0))
-    };
-    starts.into_iter().map(one).collect()
-}
-
-impl World {
-    fn classes(&self) -> Vec<RouteClass> {
-        let class = |it: &(&str, f64, u64, f64, f64, bool)| RouteClass {
-            route: RouteName::new(it.0).expect("a name"),
-            within: Duration::from_millis(it.2),
-            failures: it.3,
-            slow: it.4,
-            idempotent: it.5,
-        };
-        self.site.3.iter().map(class).collect()
-    }
-
-    /// Returns the outcome of a call and whether the fault of the new version hit it.
-    fn call(
-        &self,
-        rng: &mut StdRng,
-        now: u64,
-        route: usize,
-        side: Side,
-        load: f64,
-    ) -> (Outcome, bool, usize) {
-        let new = side == Side::New;
-        let endpoint = usize::from(new) * self.site.1 + rng.random_range(0..self.site.1);
-        let (failures, slow) = self.usual[route][usize::from(new)];
-        let mut failed = rng.random::<f64>() < failures;
-        let mut late = rng.random::<f64>() < slow;
-        let inside = |spans: &[(u64, u64)]| spans.iter().any(|it| it.0 <= now && now < it.1);
-        let hit = |rng: &mut StdRng| rng.random::<f64>() < self.strength;
-        if inside(&self.episodes) && hit(rng) {
-            (failed, late) = (failed || self.errors, late || !self.errors);
-        }
-        if inside(&self.stalls[endpoint]) {
-            late |= rng.random::<f64>() < 0.8;
-            failed |= rng.random::<f64>() < 0.1;
-        }
-        let fault = new
-            && self.bad
-            && now >= self.onset
-            && load >= self.load
-            && self.route.is_none_or(|it| it == route)
-            && rng.random::<f64>() < self.part
-            && hit(rng);
-        if fault {
-            (failed, late) = (failed || self.errors, late || !self.errors);
-        }
-        let within = self.site.3[route].2 as f64;
-        let mut factor = 1.0;
-        let mut cold = false;
-        for &(from, until, told, start) in &self.cold[endpoint] {
-            if from <= now && now < until {
-                factor = 1.0 + (start - 1.0) * (until - now) as f64 / (until - from) as f64;
-            }
-            cold |= from <= now && now < told;
-        }
-        let mut millis = 2.0 + self.site.2 * exponential(rng) * factor;
-        if late {
-            millis = millis.max(within * between(rng, 1.05, 2.0));
-        }
-        let latency = Duration::from_micros((millis * 1e3) as u64);
-        (Outcome { failed, latency, cold }, fault, endpoint)
-    }
-}
-
-enum Act {
-    Nothing,
-    Share(f64),
-    Back,
-    Finish,
-}
-
-/// A policy that is measured.
-enum Policy {
-    Core {
-        core: Box<Move>,
-        row: Box<MoveRow>,
-        settings: Settings,
-        epoch: u64,
-    },
-    Threshold {
-        steps: &'static [f64],
-        step: usize,
-        changed: u64,
-        seen: BTreeMap<RouteName, Vec<(u64, u64, u64, u64)>>,
-    },
-}
-
-impl Policy {
-    fn new(which: usize, world: &World) -> Policy {
-        let steps: &[f64] = match which {
-            0 => return Policy::core(world),
-            1 => &[0.01, 0.1, 0.5, 1.0],
-            _ => &[1.0],
-        };
-        Policy::Threshold { steps, step: 0, changed: 0, seen: BTreeMap::new() }
-    }
-
-    fn core(world: &World) -> Policy {
-        let settings = Settings::default();
-        let group = |text| GroupName::new(text).expect("a name");
-        let request = MoveRequest {
-            service: ServiceName::new("moved").expect("a name"),
-            old: group("v1"),
-            new: group("v2"),
-            deadline: Time(world.deadline),
-        };
-        let Transition::Write(row) = MoveRow::start(None, request, &settings, Time(0)) else {
-            unreachable!("a service without a row can be moved")
-        };
-        let core = Box::new(Move::new(settings.clone(), &world.classes()));
-        Policy::Core { core, row: Box::new(row), settings, epoch: 1 }
-    }
-
-    fn replace_holder(&mut self, world: &World) {
-        if let Policy::Core { core, settings, epoch, .. } = self {
-            **core = Move::new(settings.clone(), &world.classes());
-            *epoch += 1;
-        }
-    }
-
-    fn paused(&self) -> bool {
-        matches!(self, Policy::Core { core, .. } if core.paused())
-    }
-
-    fn shares(&self, share: f64, routes: usize) -> Vec<f64> {
-        match self {
-            Policy::Core { core, row, .. } => {
-                let named: BTreeMap<_, _> = core.shares(row).into_iter().collect();
-                // Routes are listed in the order of their names.
-                named.into_values().collect()
-            }
-            Policy::Threshold { .. } => vec![share; routes],
-        }
-    }
-
-    fn decide(&mut self, now: u64, evidence: &Evidence, world: &World) -> Act {
-        match self {
-            Policy::Core { core, row, settings, epoch } => {
-                core.observe(Time(now), row, evidence);
-                let decision = core.decide(Time(now), row);
-                let next = decision.transition(row, *epoch, settings, Time(now));
-                let (Transition::Write(next) | Transition::Fenced(next)) = next else {
-                    return Act::Nothing;
-                };
-                **row = next;
-                match decision {
-                    Decision::Raise { share, .. } => Act::Share(share),
-                    Decision::TakeBack { .. } => Act::Back,
-                    Decision::Finish => Act::Finish,
-                    Decision::Hold | Decision::ReportAtRisk { .. } => Act::Nothing,
-                }
-            }
-            Policy::Threshold { steps, step, changed, seen } => {
-                for (name, it) in &evidence.routes {
-                    let list = seen.entry(name.clone()).or_default();
-                    let new = it.new_sum(&[]);
-                    list.push((now, new.calls, new.failures, new.slow));
-                    list.retain(|it| now - it.0 <= 10_000_000);
-                }
-                for class in world.classes() {
-                    let Some(list) = seen.get(&class.route) else { continue };
-                    let sum = |it: fn(&(u64, u64, u64, u64)) -> u64| {
-                        list.iter().map(it).sum::<u64>() as f64
-                    };
-                    let (calls, failures, slow) = (sum(|it| it.1), sum(|it| it.2), sum(|it| it.3));
-                    let over =
-                        failures > 2.0 * class.failures * calls || slow > 2.0 * class.slow * calls;
-                    if *step > 0 && calls >= 20.0 && over {
-                        return Act::Back;
-                    }
-                }
-                let dwell = (world.deadline as f64 * 0.6 / steps.len() as f64) as u64;
-                if *step > 0 && now < *changed + dwell {
-                    return Act::Nothing;
-                }
-                *step += 1;
-                *changed = now;
-                match steps.get(*step - 1) {
-                    Some(&share) => Act::Share(share),
-                    None if *step == steps.len() + 1 => Act::Finish,
-                    None => Act::Nothing,
-                }
-            }
-        }
-    }
-}
-
 struct Daemon {
     report: Evidence,
     next: u64,
@@ -695,6 +369,10 @@
 
 fn main() {
     let arguments = Arguments::parse_args_default_or_exit();
+    if arguments.compare {
+        println!("{}", compare::compare(arguments.seed, arguments.runs));
+        return;
+    }
     let threads = std::thread::available_parallelism().map_or(1, |it| it.get() as u64).min(8);
     let mut all: Vec<Vec<Outcomes>> = std::thread::scope(|scope| {
         let arguments = &arguments;
--- a/crates/moves/src/judge.rs
+++ b/crates/moves/src/judge.rs
@@ -231,7 +231,8 @@
     allowed: f64,
     threshold: f64,
     old: Sample,
-    /// Calls of the old group in observations with calls of the new one.
+    /// Calls of the new group with the bad calls expected at the old group's rate in the same
+    /// observations. After a stop the old group has had many calls that the new one has not.
     paired: Sample,
     spread: Spread,
     clustering: Clustering,
@@ -275,11 +276,13 @@
             clustering: self.clustering.value(),
         };
         self.clustering.observe(old, self.old_all.rate());
-        self.spread.observe(sample(&[]), usual);
-        if counts.new_sum(&[]).calls > 0 {
-            self.paired.decay(old);
+        let new = sample(&[]);
+        self.spread.observe(new, usual);
+        if new.calls > 0.0 {
+            let rate = if old.calls > 0.0 { old.rate() } else { self.old.rate() };
+            self.paired.decay(Sample { bad: new.calls * rate, calls: new.calls });
         }
-        self.whole.observe(settings, sample(&[]), old, &limits);
+        self.whole.observe(settings, new, old, &limits);
         for (pair, it) in left_out().iter().zip(&mut self.without) {
             it.observe(settings, sample(pair), old, &limits);
         }
--- a/crates/moves/tests/suite/judge.rs
+++ b/crates/moves/tests/suite/judge.rs
@@ -49,6 +49,25 @@
     assert_eq!(it.burst(Settings::default().burst_score), None);
 }
 
+/// Guards against a fault of the backend that ends while all guards have stopped sending: the new
+/// group's last calls are bad and the old group's later ones good.
+#[test]
+fn shared_fault_that_ends_during_a_stop_is_not_the_versions() {
+    let settings = Settings::default();
+    let mut it = judge(&settings);
+    feed(&mut it, 50, &ALL, 0.0, 0.0);
+    feed(&mut it, 50, &ALL, 0.95, 0.95);
+    let mut counts = RouteEvidence::default();
+    (0..1_200).for_each(|call| counts.add(Side::Old, call, GOOD, class().within));
+    for _ in 0..30 {
+        it.observe(&settings, &counts);
+        assert_eq!(it.burst(settings.burst_score / 2.0), None);
+    }
+    counts.add(Side::New, 0, GOOD, class().within);
+    it.observe(&settings, &counts);
+    assert_eq!(it.burst(settings.burst_score / 2.0), None);
+}
+
 /// Guards against stalls of two endpoints that take back a good version.
 #[test]
 fn stalls_of_two_endpoints_are_not_the_versions() {
