Send nothing to the old group after its ready time

Cause: the control share and a pause went on after the ready time of a finished move, when the old group may have been stopped.

Change: `shares` takes the time and gives 1 for all routes from then on, and no pause starts.

Ruled out: ending the control share at the finish, since late faults could then be told from those of a shared backend only by trying the old group.

Conclusion: the daemon can stop the old group when its ready time is over.

--- a/crates/bench/examples/moves.rs
+++ b/crates/bench/examples/moves.rs
@@ -233,7 +233,11 @@
                 (which == 0 && share > 0.0 && (changed || at % 2_000_000 == 0)).then_some(0.0);
             if let Some(wait) = wait.or(refresh) {
                 order += 1;
-                sent.push(if out.taken { vec![0.0; count] } else { policy.shares(share, count) });
+                sent.push(if out.taken {
+                    vec![0.0; count]
+                } else {
+                    policy.shares(at, share, count)
+                });
                 for daemon in 0..daemons.len() {
                     let lost = rng.random::<f64>() < LOST_SHARE;
                     // A lost message is sent again after 500 ms.
--- a/crates/bench/examples/moves/policy.rs
+++ b/crates/bench/examples/moves/policy.rs
@@ -67,10 +67,10 @@
         matches!(self, Policy::Core { core, .. } if core.paused())
     }
 
-    pub fn shares(&self, share: f64, routes: usize) -> Vec<f64> {
+    pub fn shares(&self, now: u64, share: f64, routes: usize) -> Vec<f64> {
         match self {
             Policy::Core { core, row, .. } => {
-                let named: BTreeMap<_, _> = core.shares(row).into_iter().collect();
+                let named: BTreeMap<_, _> = core.shares(Time(now), row).into_iter().collect();
                 // Routes are listed in the order of their names.
                 named.into_values().collect()
             }
--- a/crates/moves/src/decide.rs
+++ b/crates/moves/src/decide.rs
@@ -131,7 +131,9 @@
                 state.fresh += new;
             }
         }
-        self.follow_pause(row, evidence);
+        if row.phase == Phase::Moving || row.old_ready(&self.settings, now) {
+            self.follow_pause(row, evidence);
+        }
     }
 
     /// Starts a pause when a route misses the target of its class, and ends it when the old group
@@ -163,8 +165,11 @@
     }
 
     /// Returns the share of the new group on each route, to be sent to the daemons with the row.
-    /// All are zero during a pause.
-    pub fn shares(&self, row: &MoveRow) -> Vec<(RouteName, f64)> {
+    /// All are zero during a pause, and 1 once the old group is no longer kept ready.
+    pub fn shares(&self, now: Time, row: &MoveRow) -> Vec<(RouteName, f64)> {
+        if row.phase == Phase::Finished && !row.old_ready(&self.settings, now) {
+            return self.routes.keys().map(|name| (name.clone(), 1.0)).collect();
+        }
         let whole = if self.paused() { 0.0 } else { row.share };
         let total = self.total_rate();
         let share = |(name, state): (&RouteName, &RouteState)| {
--- a/crates/moves/tests/suite/decide.rs
+++ b/crates/moves/tests/suite/decide.rs
@@ -65,7 +65,7 @@
     feed(&mut core, &row, (0, 5), (1, 0), (30, 0));
     assert_eq!(feed(&mut core, &row, (5, 6), (0, 0), (30, 12)), None);
     assert!(core.paused());
-    assert!(core.shares(&row).iter().all(|it| it.1 == 0.0));
+    assert!(core.shares(secs(6), &row).iter().all(|it| it.1 == 0.0));
     let back = feed(&mut core, &row, (6, 7), (30, 0), (0, 0));
     let reason =
         |it: &Decision| matches!(it, Decision::TakeBack { reason: Reason::OldIsWell { .. } });
@@ -95,3 +95,17 @@
     let mut late = core();
     assert_eq!(feed(&mut late, &row, (601, 606), (10, 0), (90, 30)), None);
 }
+
+/// Guards against calls to an old group that may have been stopped.
+#[test]
+fn old_group_gets_no_calls_after_its_ready_time() {
+    let row = written(row_at(7, Time(0)).finish(1, secs(1)));
+    let mut core = core();
+    feed(&mut core, &row, (0, 5), (10, 0), (90, 0));
+    let share = |core: &Move, now| core.shares(secs(now), &row)[0].1;
+    assert!(share(&core, 600) < 1.0);
+    assert_eq!(share(&core, 601), 1.0);
+    feed(&mut core, &row, (601, 606), (0, 0), (90, 60));
+    assert!(!core.paused());
+    assert_eq!(share(&core, 606), 1.0);
+}
