Test clustered faults and sparse routes

Cause: the weight of clustered calls and the test for sparse routes had no test of their own.

Change: two tests of the judge.

Ruled out: weaker bursts (0.2) and 8 faulty calls, with which the tests passed without the mechanisms.

Conclusion: each part of the judge now has a test that needs it.

--- a/crates/moves/tests/suite/judge.rs
+++ b/crates/moves/tests/suite/judge.rs
@@ -118,3 +118,33 @@
     // 0.05 of 400 and three standard deviations.
     assert!(alarms <= 33, "{alarms} false alarms in 400 moves");
 }
+
+/// Guards against calls that are counted as independent while they come in clusters: both groups
+/// have the same bursts, but at different times.
+#[test]
+fn clustered_faults_of_both_groups_are_not_the_versions() {
+    let mut it = judge(&Settings::default());
+    for _ in 0..30 {
+        feed(&mut it, 10, &ALL, 0.0, 0.0);
+        feed(&mut it, 10, &ALL, 0.0, 0.6);
+        feed(&mut it, 10, &ALL, 0.0, 0.0);
+        feed(&mut it, 10, &ALL, 0.6, 0.0);
+        assert_eq!(it.alarm(), None);
+        assert_eq!(it.burst(Settings::default().burst_score), None);
+    }
+}
+
+/// Guards against a sparse route whose faulty version is found only after dozens of faults, since
+/// leaving parts out takes away most of its few calls.
+#[test]
+fn fault_on_a_sparse_route_is_found_after_a_few_calls() {
+    let settings = Settings::default();
+    let mut it = judge(&settings);
+    for call in 0..4 {
+        let mut counts = RouteEvidence::default();
+        counts.add(Side::New, call, FAILED, class().within);
+        it.observe(&settings, &counts);
+        (0..9).for_each(|_| it.observe(&settings, &RouteEvidence::default()));
+    }
+    assert!(it.burst(settings.burst_score).is_some());
+}
