--- a/crates/moves/tests/suite/judge.rs
+++ b/crates/moves/tests/suite/judge.rs
@@ -49,6 +49,25 @@
     assert_eq!(it.burst(Settings::default().burst_score), None);
 }
 
+/// Guards against a fault of the backend that ends while all guards have stopped sending: the new
+/// group's last calls are bad and the old group's later ones good.
+#[test]
+fn shared_fault_that_ends_during_a_stop_is_not_the_versions() {
+    let settings = Settings::default();
+    let mut it = judge(&settings);
+    feed(&mut it, 50, &ALL, 0.0, 0.0);
+    feed(&mut it, 50, &ALL, 0.95, 0.95);
+    let mut counts = RouteEvidence::default();
+    (0..1_200).for_each(|call| counts.add(Side::Old, call, GOOD, class().within));
+    for _ in 0..30 {
+        it.observe(&settings, &counts);
+        assert_eq!(it.burst(settings.burst_score / 2.0), None);
+    }
+    counts.add(Side::New, 0, GOOD, class().within);
+    it.observe(&settings, &counts);
+    assert_eq!(it.burst(settings.burst_score / 2.0), None);
+}
+
 /// Guards against stalls of two endpoints that take back a good version.
 #[test]
 fn stalls_of_two_endpoints_are_not_the_versions() {
@@ -99,3 +118,33 @@
     // 0.05 of 400 and three standard deviations.
     assert!(alarms <= 33, "{alarms} false alarms in 400 moves");
 }
+
+/// Guards against calls that are counted as independent while they come in clusters: both groups
+/// have the same bursts, but at different times.
+#[test]
+fn clustered_faults_of_both_groups_are_not_the_versions() {
+    let mut it = judge(&Settings::default());
+    for _ in 0..30 {
+        feed(&mut it, 10, &ALL, 0.0, 0.0);
+        feed(&mut it, 10, &ALL, 0.0, 0.6);
+        feed(&mut it, 10, &ALL, 0.0, 0.0);
+        feed(&mut it, 10, &ALL, 0.6, 0.0);
+        assert_eq!(it.alarm(), None);
+        assert_eq!(it.burst(Settings::default().burst_score), None);
+    }
+}
+
+/// Guards against a sparse route whose faulty version is found only after dozens of faults, since
+/// leaving parts out takes away most of its few calls.
+#[test]
+fn fault_on_a_sparse_route_is_found_after_a_few_calls() {
+    let settings = Settings::default();
+    let mut it = judge(&settings);
+    for call in 0..4 {
+        let mut counts = RouteEvidence::default();
+        counts.add(Side::New, call, FAILED, class().within);
+        it.observe(&settings, &counts);
+        (0..9).for_each(|_| it.observe(&settings, &RouteEvidence::default()));
+    }
+    assert!(it.burst(settings.burst_score).is_some());
+}
