Send in-force reports only to members with a known address

Cause: a daemon can learn its source before the source's record has arrived.

Change: the report waits until the receiver is in the view.

--- a/crates/bench/examples/deployment.rs
+++ b/crates/bench/examples/deployment.rs
@@ -106,7 +106,8 @@
             let status: Value = serde_json::from_str(&status).unwrap_or_default();
             let services = status["services"].as_array().cloned().unwrap_or_default();
             let ready: u64 = services.iter().filter_map(|it| it["ready"].as_u64()).sum();
-            all &= ready as usize == cluster.endpoints.len();
+            let in_force = status["in_force"]["seq"].as_u64().unwrap_or(0);
+            all &= ready as usize == cluster.endpoints.len() && in_force > 0;
         }
         if all {
             return Ok(());
@@ -130,7 +131,10 @@
         latencies.push(time.as_secs_f64() * 1_000.0);
         match &result {
             CallResult::Answered { .. } => answered += 1,
-            CallResult::NotRun(_) => refused += 1,
+            CallResult::NotRun(kind) => {
+                refused += 1;
+                eprintln!("{} through {}: {kind}", spec.echo, endpoint.name);
+            }
             CallResult::Failed(_) | CallResult::Unknown(_) => unknown += 1,
             CallResult::Wrong(_) => wrong += 1,
         }
--- a/crates/distribution/src/peers.rs
+++ b/crates/distribution/src/peers.rs
@@ -16,13 +16,13 @@
 
 impl Distribution {
     pub(crate) fn set_peers(&mut self, peers: Vec<Peer>) {
-        let before = std::mem::take(&mut self.view.local);
         self.view.set(peers, self.settings.candidates);
         let view = &self.view;
-        let gone = |it: &EndpointId| {
-            before.binary_search(it).is_ok() && view.local.binary_search(it).is_err()
-        };
-        self.reports.children.retain(|it, _| !gone(it));
+        // A member that is suspected for a moment leaves the view and comes back without a new
+        // report, so that reports outlive the view. Only children in the view are counted.
+        if self.reports.children.len() > MAX_SEEN {
+            self.reports.children.retain(|it, _| view.local.binary_search(it).is_ok());
+        }
         if self.seen.len() > MAX_SEEN {
             self.seen.retain(|it, _| {
                 view.local.binary_search(it).is_ok() || view.remote.binary_search(it).is_ok()
@@ -75,10 +75,8 @@
             }
             Message::Report(report) => {
                 // The sender's record may not have arrived yet. Dropping its report would leave it
-                // out until it repeats an unchanged report. Only children in the view count.
-                if self.reports.children.len() < MAX_SEEN {
-                    self.reports.children.insert(from, report);
-                }
+                // out until it repeats an unchanged report.
+                self.reports.children.insert(from, report);
                 return;
             }
         }
@@ -304,6 +302,11 @@
         if parent.is_none() && !self.lease.valid(ctx.now) {
             return;
         }
+        // The source can be known before its record has arrived, and then has no address yet.
+        let known = |to: &EndpointId| self.view.local.binary_search(to).is_ok();
+        if parent.as_ref().is_some_and(|to| !known(to)) {
+            return;
+        }
         let report = self.report();
         let fresh = self.reports.sent.as_ref().is_some_and(|(to, sent, at)| {
             *to == parent && *sent == report && ctx.now - *at < self.settings.report_refresh
--- a/crates/distribution/tests/suite/contact.rs
+++ b/crates/distribution/tests/suite/contact.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use rand::{SeedableRng, rngs::StdRng};
-use shallottack_distribution::{Action, Distribution, Input, Message, Peer, Settings};
+use shallottack_config::Version;
+use shallottack_distribution::{
+    Action, Distribution, Input, Mark, Message, Peer, Report, Settings, SourceMark,
+};
 use shallottack_kernel::Time;
 
 fn peer(name: &str) -> Peer {
@@ -40,3 +43,50 @@
     assert!(alone <= 64 / 8 * 2, "{alone} probes alone, {riding} with other messages");
     assert!(riding >= 64 / 8 * 6, "{riding} probes with other messages, {alone} alone");
 }
+
+/// Guards against a report that is dropped because its sender's record has not arrived yet, or
+/// because the sender was suspected for a moment: it would be missing from the status for 10 s.
+#[test]
+fn a_report_outlives_a_change_of_the_view() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut core = Distribution::new(Settings::default(), peer("a"), Time(0), &mut rng);
+    let from: shallottack_kernel::EndpointId = "b".parse().unwrap();
+    let report = Report { daemons: 1, lowest: Version::ZERO, lagging: Vec::new() };
+    let input = Input::Message { from: from.clone(), message: Message::Report(report) };
+    core.handle(Time(0), &mut rng, input);
+    let holder: shallottack_kernel::EndpointId = "a".parse().unwrap();
+    for peers in [vec![peer("a"), peer("b")], vec![peer("a")], vec![peer("a"), peer("b")]] {
+        core.handle(Time(0), &mut rng, Input::Peers(peers));
+    }
+    let mark = Mark {
+        version: Version::ZERO,
+        in_force: false,
+        source: Some(SourceMark { data_centre: peer("a").data_centre, holder, epoch: 1 }),
+    };
+    core.handle(Time(0), &mut rng, Input::Message { from, message: Message::Probe { mark } });
+    assert_eq!(core.report().daemons, 2);
+}
+
+/// Guards against a report to a source whose record has not arrived yet: it has no address, and
+/// the report would be sent again only after 10 s.
+#[test]
+fn a_report_waits_for_the_record_of_its_receiver() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut core = Distribution::new(Settings::default(), peer("b"), Time(0), &mut rng);
+    let holder: shallottack_kernel::EndpointId = "a".parse().unwrap();
+    let source =
+        SourceMark { data_centre: peer("a").data_centre, holder: holder.clone(), epoch: 1 };
+    let mark = Mark { version: Version::ZERO, in_force: false, source: Some(source) };
+    let from = "c".parse().unwrap();
+    core.handle(Time(0), &mut rng, Input::Peers(vec![peer("b"), peer("c")]));
+    core.handle(Time(0), &mut rng, Input::Message { from, message: Message::Probe { mark } });
+    let mut reports = |now: u64, core: &mut Distribution| {
+        let actions = core.handle(Time::from_millis(now), &mut rng, Input::Tick);
+        let report = |it: &&Action| matches!(it, Action::Send { to, message: Message::Report(_) } if *to == holder);
+        actions.iter().filter(report).count()
+    };
+    assert_eq!(reports(3_000, &mut core), 0);
+    let mut other = StdRng::seed_from_u64(2);
+    core.handle(Time::from_millis(3_100), &mut other, Input::Peers(vec![peer("a"), peer("c")]));
+    assert_eq!(reports(4_100, &mut core), 1);
+}
