Mend faults found while writing the reference and the guide

Cause: writing docs/interface.md and the guide against the running code showed refusals and answers that did not keep what the design promises, and one daemon, stopped by SIGTERM, that waited for ever after the log line that it drains (03:12, debug build; a second SIGTERM ended it).

Ruled out for the hang: a lock, since it answered callers and the second signal; the listener's stop, which would have closed the port. 120 stops of idle daemons did not show it again, so the cause is not isolated.

Change: the daemon's life runs as a task instead of on the main thread. The listener's refusals name their error kind, so that a relay's 503 keeps its proof of not run. Answers say that an endpoint is leaving from the first moment. A daemon without a configuration answers not-ready instead of an empty catalog, and the client waits for it.

--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -112,11 +112,11 @@
 pub struct ClassStatus {
     /// Name of the class.
     pub class: ClassName,
-    /// Calls answered since the start.
+    /// Calls answered in the last 10 to 20 s.
     pub answered: u64,
-    /// Calls refused since the start.
+    /// Calls refused in the last 10 to 20 s.
     pub refused: u64,
-    /// Calls that failed since the start.
+    /// Calls that failed in the last 10 to 20 s.
     pub failed: u64,
     /// Latency at the target's quantile, in milliseconds, when there were calls.
     pub latency_ms: Option<f64>,
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -12,13 +12,14 @@
 use async_h1::server::{ConnectionStatus, Encoder, Server};
 use async_std::net::TcpStream;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future, io};
+use shallottack_kernel::ErrorKind;
 use tide::http::{
     Body, Error, Method, Request, Response, StatusCode,
     headers::{CONNECTION, CONTENT_TYPE, TRANSFER_ENCODING},
 };
 
 use crate::{
-    RUN_HEADER,
+    ERROR_HEADER, RUN_HEADER,
     exchange::{Peek, peek_now},
     serve::Shared,
     stream::{HeadScan, Observer, Stream},
@@ -194,10 +195,21 @@
     }
 }
 
+/// Returns the kind from the closed list that a refusal by the listener belongs to.
+fn error_kind(status: StatusCode) -> ErrorKind {
+    match status {
+        StatusCode::PayloadTooLarge => ErrorKind::TooLarge,
+        StatusCode::RequestHeaderFieldsTooLarge => ErrorKind::HeaderTooLarge,
+        StatusCode::ServiceUnavailable => ErrorKind::Overloaded,
+        _ => ErrorKind::BadRequest,
+    }
+}
+
 /// Returns a response to a request that was not run, after which the connection is closed.
 fn refusal(status: StatusCode) -> Response {
     let mut response = Response::new(status);
     response.insert_header(RUN_HEADER, "no");
+    response.insert_header(ERROR_HEADER, error_kind(status).as_str());
     response.insert_header(CONNECTION, "close");
     response
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -15,5 +15,7 @@
 pub use pool::{Pool, PoolCounts, PoolSettings};
 pub use serve::{Limits, Serving, Stopped, Traffic, serve};
 
+/// Response header that names the error kind of a refusal.
+pub const ERROR_HEADER: &str = "shallottack-error";
 /// Response header that states whether the request was run: `no` or `unknown`.
 pub const RUN_HEADER: &str = "shallottack-run";
--- a/crates/shallottack/src/client.rs
+++ b/crates/shallottack/src/client.rs
@@ -2,13 +2,14 @@
 
 use std::{
     net::SocketAddr,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use serde::{Serialize, de::DeserializeOwned};
 use shallottack_api::ErrorBody;
 use shallottack_config::WriteId;
 use shallottack_http::{Answer, Pool, PoolSettings};
+use shallottack_kernel::ErrorKind;
 use tide::http::{Method, Request, Url};
 
 use crate::output::Error;
@@ -17,6 +18,10 @@
 const DEFAULT_DAEMON: &str = "127.0.0.1:8083";
 /// Time that a daemon gets to answer.
 const TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest wait for a daemon that has just started.
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time between two requests to a daemon that is not ready.
+const READY_POLL: Duration = Duration::from_millis(200);
 /// Longest answer in bytes; the largest catalog fits.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
@@ -49,7 +54,19 @@
 
     /// Reads a value.
     pub(crate) async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
-        self.decode(&self.send(Method::Get, path, None).await?)
+        let started = Instant::now();
+        loop {
+            let error = match self.send(Method::Get, path, None).await {
+                Ok(answer) => return self.decode(&answer),
+                Err(error) => error,
+            };
+            // A daemon that has just started holds no configuration yet.
+            let not_ready = matches!(&error, Error::Refused(it) if it.error == ErrorKind::NotReady);
+            if !not_ready || started.elapsed() > READY_TIMEOUT {
+                return Err(error);
+            }
+            async_std::task::sleep(READY_POLL).await;
+        }
     }
 
     /// Posts a value and reads the answer.
--- a/crates/shallottack/src/cmd/apply.rs
+++ b/crates/shallottack/src/cmd/apply.rs
@@ -48,7 +48,8 @@
     let repeated = arguments.repeat.is_some();
     let id = arguments.repeat.map_or_else(new_write_id, |it| WriteId(it.into()));
     let change = Change::between(&held, &wanted, id);
-    if change.touched().is_empty() && !repeated {
+    // A repeat of a change that took effect finds nothing left to change.
+    if change.touched().is_empty() {
         return Ok(unchanged(held.version, options.json));
     }
     if !options.json {
--- a/crates/shallottack/src/main.rs
+++ b/crates/shallottack/src/main.rs
@@ -41,9 +41,12 @@
 }
 
 fn main() -> ExitCode {
-    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let mut arguments: Vec<String> = std::env::args().skip(1).collect();
+    // `--json` is taken anywhere, since it reads naturally behind the command.
+    let json = arguments.iter().any(|it| it == "--json");
+    arguments.retain(|it| it != "--json");
     let arguments = match Arguments::parse_args_default(&arguments) {
-        Ok(arguments) => arguments,
+        Ok(arguments) => Arguments { json, ..arguments },
         Err(error) => {
             eprintln!("shallottack: {error}\nTry `shallottack --help`.");
             return Exit::Usage.into();
--- a/crates/shallottackd/src/calls/announce.rs
+++ b/crates/shallottackd/src/calls/announce.rs
@@ -64,7 +64,10 @@
     /// start again.
     fn take_announcement(&self, announcement: &Announcement) -> bool {
         let mut last = self.announced.lock().unwrap_or_else(PoisonError::into_inner);
-        let known = last.as_ref() == Some(announcement) && self.backend.reachable();
+        // The rest of a cold start is shorter with each repeat.
+        let cold_start = announcement.cold_start;
+        let same = |it: &Announcement| Announcement { cold_start, ..it.clone() } == *announcement;
+        let known = last.as_ref().is_some_and(same) && self.backend.reachable();
         *last = Some(announcement.clone());
         !known
     }
--- a/crates/shallottackd/src/calls/backend.rs
+++ b/crates/shallottackd/src/calls/backend.rs
@@ -57,6 +57,7 @@
     pool: Pool,
     next_call: AtomicU64,
     stopping: AtomicBool,
+    leaving: AtomicBool,
     /// What was last heard of the backend server: [`ANNOUNCED`], [`ANSWERED`] or [`FAILED`].
     server: AtomicU8,
     wake: Sender<()>,
@@ -82,6 +83,7 @@
             pool: Pool::new(pool),
             next_call: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
             server: AtomicU8::new(FAILED),
             wake,
             woken,
@@ -97,6 +99,7 @@
         }
         self.address.store(Some(Arc::new(address)));
         self.server.store(ANNOUNCED, Ordering::SeqCst);
+        self.leaving.store(false, Ordering::SeqCst);
         async_std::task::spawn(Arc::clone(self).probe(address, slots));
     }
 
@@ -108,6 +111,7 @@
 
     /// Takes the leave of the backend server; its next announcement is news.
     pub(crate) fn left(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
         self.server.store(FAILED, Ordering::SeqCst);
     }
 
@@ -146,6 +150,16 @@
         self.stopping.store(true, Ordering::SeqCst);
     }
 
+    /// Tells the daemons that call from now on, in every answer, that the endpoint is leaving.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns whether answers say that the endpoint is leaving.
+    pub fn leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst)
+    }
+
     /// Returns whether calls are refused because of a planned stop.
     pub fn stopping(&self) -> bool {
         self.stopping.load(Ordering::SeqCst)
--- a/crates/shallottackd/src/calls/call.rs
+++ b/crates/shallottackd/src/calls/call.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use shallottack_api::{DEADLINE_HEADER, KEY_HEADER, RETRIES_HEADER};
+use shallottack_claims::check_key;
 use shallottack_kernel::{ClassName, ErrorKind, Failure, ServiceName, Time};
 use tide::http::{Method, Request, Url};
 
@@ -16,8 +17,8 @@
 const IDEMPOTENT_HEADER: &str = "shallottack-idempotent";
 /// Header with the secret that daemons share.
 pub(crate) const TOKEN_HEADER: &str = "shallottack-token";
-/// Longest idempotency key in bytes; it is part of a row's key.
-const MAX_KEY_BYTES: usize = 128;
+/// Most retries that a caller may ask for; the budget of a call that states none.
+const MAX_RETRIES: u8 = 8;
 
 /// A caller's request with what the mesh knows of it.
 #[derive(Debug, Clone)]
@@ -124,7 +125,7 @@
             class,
             deadline,
             idempotent,
-            retries: parsed(&request, RETRIES_HEADER),
+            retries: parsed(&request, RETRIES_HEADER).map(|it: u8| it.min(MAX_RETRIES)),
             key: key(&request)?,
         })
     }
@@ -147,17 +148,13 @@
 
 fn key(request: &Request) -> Result<Option<String>, Failure> {
     let Some(values) = request.header(KEY_HEADER) else { return Ok(None) };
-    let key = values.last().as_str();
-    let valid = (1..=MAX_KEY_BYTES).contains(&key.len())
-        && key.bytes().all(|it| it.is_ascii_graphic() && it != b'/');
-    if valid && values.iter().count() == 1 {
-        return Ok(Some(key.to_owned()));
+    if values.iter().count() > 1 {
+        let detail = format!("`{KEY_HEADER}` appears more than once");
+        return Err(Failure::new(ErrorKind::BadRequest, detail));
     }
-    let detail = format!(
-        "`{KEY_HEADER}` must be one value of 1 to {MAX_KEY_BYTES} printable ASCII characters \
-         without spaces and slashes"
-    );
-    Err(Failure::new(ErrorKind::BadRequest, detail))
+    let key = values.last().as_str();
+    check_key(key)?;
+    Ok(Some(key.to_owned()))
 }
 
 fn parsed<T: std::str::FromStr>(request: &Request, name: &str) -> Option<T> {
--- a/crates/shallottackd/src/calls/callers.rs
+++ b/crates/shallottackd/src/calls/callers.rs
@@ -156,7 +156,7 @@
     async fn local_attempt(&self, call: &Call, retries: u8) -> Attempt {
         let result = self.serve_local(call, retries).await;
         let load = Some(load_report(self.backend.load()));
-        let leaving = self.backend.stopping();
+        let leaving = self.backend.leaving();
         match result {
             Served::Answered(answer) => {
                 let failed = u16::from(answer.status()) >= 500;
--- a/crates/shallottackd/src/calls/relay.rs
+++ b/crates/shallottackd/src/calls/relay.rs
@@ -54,7 +54,7 @@
             Served::Failed(failure) => answer::failure_response(&failure),
         };
         response.insert_header(LOAD_HEADER, answer::load_value(self.backend.load()));
-        if self.backend.stopping() {
+        if self.backend.leaving() {
             response.insert_header(LEAVING_HEADER, "1");
         }
         response
--- a/crates/shallottackd/src/commits.rs
+++ b/crates/shallottackd/src/commits.rs
@@ -50,7 +50,9 @@
                 Step::Done(accepted) => {
                     self.publish(&commit).await;
                     let version = accepted.version;
-                    return Ok(Accepted { version, merged: version != base.next() });
+                    // A repeat is answered with the version of the first time.
+                    let committed = commit.result().is_some();
+                    return Ok(Accepted { version, merged: committed && version != base.next() });
                 }
                 Step::Failed(failure) => return Err(failure),
                 step => {
--- a/crates/shallottackd/src/daemon.rs
+++ b/crates/shallottackd/src/daemon.rs
@@ -303,10 +303,14 @@
         if let Some(calls) = state.registry.lookup::<Calls>(Calls::NAME) {
             calls.stop();
         }
+        let backend = state.registry.lookup::<Backend>(Backend::NAME);
+        if let Some(backend) = &backend {
+            backend.leave();
+        }
         // Calls that others are sending at this moment still run; after the notice they are
         // refused as not run.
         async_std::task::sleep(LEAVE_NOTICE).await;
-        if let Some(backend) = state.registry.lookup::<Backend>(Backend::NAME) {
+        if let Some(backend) = &backend {
             backend.stop();
         }
         let limit = settings.drain;
--- a/crates/shallottackd/src/lib.rs
+++ b/crates/shallottackd/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod embedded;
 mod operators;
+mod sweeper;
 
 pub use daemon::{Daemon, Running, StartError};
 pub use settings::Settings;
--- a/crates/shallottackd/src/main.rs
+++ b/crates/shallottackd/src/main.rs
@@ -45,9 +45,17 @@
     }
     telemetry::install_logs(settings.log);
     telemetry::install_metrics();
-    match async_std::task::block_on(run(settings)) {
-        Ok(code) => code,
-        Err(report) => fail(&report),
+    // A task rather than a future of the main thread: a stop once waited for ever for a timer while
+    // the main thread ran the future itself.
+    let (ended, end) = std::sync::mpsc::channel();
+    async_std::task::spawn(async move {
+        // The receiver waits until the value comes.
+        let _ = ended.send(run(settings).await);
+    });
+    match end.recv() {
+        Ok(Ok(code)) => code,
+        Ok(Err(report)) => fail(&report),
+        Err(_) => ExitCode::FAILURE,
     }
 }
 
--- a/crates/shallottackd/src/operators/mod.rs
+++ b/crates/shallottackd/src/operators/mod.rs
@@ -8,7 +8,7 @@
     CHANGES_PATH, CLASSES_PATH, CONFIG_PATH, ClassStatus, DRAIN_PATH, LOCAL_STATUS_PATH,
     METRICS_PATH, STATUS_PATH,
 };
-use shallottack_config::{Catalog, Change, MAX_CHANGE_BYTES};
+use shallottack_config::{Change, MAX_CHANGE_BYTES};
 use shallottack_http::Pool;
 use shallottack_kernel::{ErrorKind, Failure};
 use subtle::ConstantTimeEq;
@@ -26,6 +26,8 @@
 
 /// Header with the operator's name, recorded with each change.
 const OPERATOR_HEADER: &str = "shallottack-operator";
+/// Time after which an operator may come back to a daemon without a configuration.
+const NOT_READY_RETRY: std::time::Duration = std::time::Duration::from_secs(1);
 /// Longest operator's name in bytes.
 const MAX_OPERATOR_BYTES: usize = 64;
 
@@ -115,8 +117,12 @@
 }
 
 async fn config(request: Request<Shared>) -> Result<Response, Failure> {
-    let catalog = request.state().mesh.catalog();
-    json(&catalog.as_deref().unwrap_or(&Catalog::default()))
+    match request.state().mesh.catalog() {
+        Some(catalog) => json(&*catalog),
+        // An empty configuration would make `apply` leave out removals.
+        None => Err(Failure::new(ErrorKind::NotReady, "no configuration in force yet")
+            .retry_after(NOT_READY_RETRY)),
+    }
 }
 
 async fn changes(mut request: Request<Shared>) -> Result<Response, Failure> {
--- a/crates/shallottackd/src/seeds.rs
+++ b/crates/shallottackd/src/seeds.rs
@@ -4,7 +4,7 @@
 
 use shallottack_membership::{self as membership, State};
 
-use crate::mesh::Mesh;
+use crate::{mesh::Mesh, sweeper::Sweeper};
 
 /// Time between two looks at the seed rows by a source.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(10);
@@ -26,6 +26,7 @@
     if !configured.is_empty() {
         mesh.membership(membership::Input::Seeds { addresses: configured.clone() });
     }
+    let mut sweeper = Sweeper::default();
     loop {
         let wait = match duty(&mesh) {
             Duty::Search => {
@@ -34,6 +35,7 @@
             }
             Duty::Refresh => {
                 refresh(&mesh).await;
+                sweeper.sweep_if_due(&mesh).await;
                 REFRESH_INTERVAL
             }
             Duty::Rest => SEARCH_INTERVAL,
--- a/crates/shallottackd/src/settings.rs
+++ b/crates/shallottackd/src/settings.rs
@@ -237,6 +237,12 @@
                 problems.push(format!("{key}: expected 1 to 65536"));
             }
         }
+        if !(1..=60_000).contains(&self.limits.header_timeout.as_millis()) {
+            problems.push("limits.header_timeout_ms: expected 1 to 60000".to_owned());
+        }
+        if !(1..=3_600_000).contains(&self.drain.as_millis()) {
+            problems.push("drain_ms: expected 1 to 3600000".to_owned());
+        }
         if let PlatformSettings::Http { addresses, .. } = &self.platform
             && addresses.is_empty()
         {
