Run the daemon on one thread by default

Counting system calls showed 7 futex and 5 epoll waits a request: each step of a call woke another thread, which also took over the reactor.

Change: the setting threads, 1 by default, sets the runtime's threads.

--- a/crates/shallottackd/src/main.rs
+++ b/crates/shallottackd/src/main.rs
@@ -2,6 +2,7 @@
 
 use std::{path::PathBuf, process::ExitCode};
 
+use async_global_executor::GlobalExecutorConfig;
 use async_std::stream::StreamExt;
 use gumdrop::Options;
 use miette::Report;
@@ -43,6 +44,11 @@
         println!("{}: valid", path.display());
         return ExitCode::SUCCESS;
     }
+    let threads = GlobalExecutorConfig::default()
+        .with_min_threads(settings.threads)
+        .with_max_threads(settings.threads);
+    // Before anything else uses the runtime, which is started with its own defaults otherwise.
+    async_global_executor::init_with_config(threads);
     telemetry::install_logs(settings.log);
     telemetry::install_metrics();
     // A task rather than a future of the main thread: a stop once waited for ever for a timer while
--- a/crates/shallottackd/src/settings.rs
+++ b/crates/shallottackd/src/settings.rs
@@ -44,6 +44,10 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(default = "default_drain", rename = "drain_ms")]
     pub drain: Duration,
+    /// Threads that run the daemon. A call that moves between threads waits for the next one to
+    /// wake up, so that one thread gives the lowest latency.
+    #[serde(default = "default_threads")]
+    pub threads: usize,
     /// Level of the log: error, warn, info, debug or trace.
     #[serde(default = "default_log")]
     pub log: log::LevelFilter,
@@ -143,6 +147,10 @@
     Duration::from_secs(30)
 }
 
+fn default_threads() -> usize {
+    1
+}
+
 fn default_log() -> log::LevelFilter {
     log::LevelFilter::Info
 }
@@ -240,6 +248,9 @@
         if !(1..=60_000).contains(&self.limits.header_timeout.as_millis()) {
             problems.push("limits.header_timeout_ms: expected 1 to 60000".to_owned());
         }
+        if !(1..=64).contains(&self.threads) {
+            problems.push("threads: expected 1 to 64".to_owned());
+        }
         if !(1..=3_600_000).contains(&self.drain.as_millis()) {
             problems.push("drain_ms: expected 1 to 3600000".to_owned());
         }
