Split the making of the services from the daemon's life cycle

Change: services.rs makes, registers and starts the services, apps.rs holds the HTTP applications, daemon.rs keeps the life cycle.

Ruled out: a builder, since the services have one order in which they can be made.

--- a/crates/shallottack/src/main.rs
+++ b/crates/shallottack/src/main.rs
@@ -70,7 +70,8 @@
 }
 
 fn print_help(arguments: &Arguments) {
-    println!("Usage: shallottack [OPTIONS] COMMAND [ARGUMENTS]\n");
+    let command = arguments.command_name().unwrap_or("COMMAND");
+    println!("Usage: shallottack [OPTIONS] {command} [ARGUMENTS]\n");
     println!("{}", arguments.self_usage());
     match arguments.self_command_list() {
         Some(commands) => println!("\nCommands:\n{commands}\n\n{EXAMPLES}"),
--- a/crates/shallottackd/src/daemon.rs
+++ b/crates/shallottackd/src/daemon.rs
@@ -1,12 +1,6 @@
 //! Life cycle of the daemon: binding, serving, draining.
 
-use std::{
-    io,
-    net::SocketAddr,
-    path::Path,
-    sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
+use std::{io, net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
 use async_std::{
     channel::{Receiver, bounded},
@@ -14,21 +8,18 @@
     task::JoinHandle,
 };
 use shallottack_config::{Catalog, Change, Version, WriteId};
-use shallottack_distribution as distribution;
-use shallottack_http::{Limits as HttpLimits, PoolSettings, Serving, serve};
-use shallottack_kernel::{EndpointId, Registry, SystemClock};
-use shallottack_membership::{self as membership, Addresses, Identity};
+use shallottack_http::{Limits as HttpLimits, Serving, serve};
+use shallottack_kernel::{EndpointId, Registry};
+use shallottack_membership as membership;
 use shallottack_platform::{HttpPlatform, HttpSettings, MemoryPlatform, Platform};
-use shallottack_rpc::{Peers, PeersSettings, Traffic};
-use tide::Request;
 
 use crate::{
-    calls::{Backend, Calls, CallsView, KeyedCalls, relay_pool},
+    apps,
+    calls::{Backend, Calls},
     commits::Commits,
     embedded,
-    mesh::{Mesh, MeshHandler, MeshParts},
-    operators::Operators,
-    seeds,
+    mesh::Mesh,
+    services::Services,
     settings::{PlatformSettings, Settings},
 };
 
@@ -37,6 +28,11 @@
 /// connection for a call that was under way.
 const LEAVE_NOTICE: Duration = Duration::from_millis(500);
 
+/// Most open connections of operators.
+const OPERATOR_CONNECTIONS: usize = 64;
+/// Most open connections of the backend server to the announce port.
+const ANNOUNCE_CONNECTIONS: usize = 16;
+
 /// Why the daemon did not start.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
 pub enum StartError {
@@ -158,118 +154,69 @@
             address: settings.listen.callers,
             source,
         })?;
-        let clock = SystemClock::new();
-        let view = CallsView::new(settings.data_centre.clone(), clock);
-        let traffic = Arc::new(Traffic::default());
-        let mesh = Mesh::new(MeshParts {
-            identity: identity(&settings, addresses),
-            distribution: distribution_settings(&settings),
-            membership: membership::Settings::default(),
-            peers: Peers::new(
-                PeersSettings::default(),
-                &settings.tokens.mesh,
-                Arc::clone(&traffic),
-            ),
-            traffic: Arc::clone(&traffic),
-            platform: Arc::clone(&platform),
-            observer: Arc::clone(&view) as _,
-            clock,
-            seed: rand::random(),
-        });
-        let pool = PoolSettings {
-            connections: settings.limits.backend_connections,
-            body_bytes: settings.limits.body_bytes,
-            ..PoolSettings::default()
-        };
-        let backend = Backend::new(Arc::clone(&mesh), clock, pool);
-        view.attach(Arc::clone(&backend));
-        let keyed =
-            KeyedCalls::new(settings.endpoint.clone(), platform, Arc::clone(&backend), clock);
-        let calls = Calls::new(
-            settings.endpoint.clone(),
-            &settings.tokens.mesh,
-            &view,
-            Arc::clone(&mesh),
-            Arc::clone(&backend),
-            Arc::clone(&keyed),
-            relay_pool(settings.limits.body_bytes),
-        );
-        let commits = Arc::new(Commits::new(Arc::clone(&mesh)));
         let (drain_sender, drain) = bounded(1);
-        let operators = Operators::new(
-            &settings.tokens.operators,
-            Arc::clone(&mesh),
-            Arc::clone(&commits),
-            Arc::clone(&backend),
-            drain_sender,
-        );
+        let services = Services::new(&settings, addresses, platform, drain_sender);
         let registry = Registry::new();
-        register(&registry, &mesh, &calls, &backend, &commits, &operators);
-
-        let peers = shallottack_rpc::serve(
-            bound.peers,
-            &settings.tokens.mesh,
-            Arc::new(MeshHandler(Arc::clone(&mesh))),
-            traffic,
-        );
-        let tasks = vec![
-            peers,
-            async_std::task::spawn(Arc::clone(&mesh).run()),
-            async_std::task::spawn(Arc::clone(&backend).run_timers()),
-            async_std::task::spawn(keyed.run_timers()),
-            async_std::task::spawn(seeds::run(Arc::clone(&mesh), settings.seeds.clone())),
-        ];
-        let listen_failed = |port: &'static str, address: SocketAddr| {
-            move |source| StartError::Listen { port, address, source }
-        };
-        let callers = serve(
-            bound.callers,
-            caller_app(Arc::clone(&calls)),
-            limits(&settings, settings.limits.caller_connections),
-        )
-        .map_err(listen_failed("callers", addresses.callers))?;
-        let relay = serve(
-            bound.relay,
-            relay_app(Arc::clone(&calls)),
-            limits(&settings, settings.limits.relay_connections),
-        )
-        .map_err(listen_failed("relay", addresses.relay))?;
-        let operators = serve(bound.operators, operators.app(), limits(&settings, 64))
-            .map_err(listen_failed("operators", addresses.operators))?;
-        let announce = serve(bound.announce, announce_app(calls), limits(&settings, 16))
-            .map_err(listen_failed("announce", addresses.announce))?;
-        if let Some(path) = &settings.bootstrap {
-            bootstrap(path, &commits).await?;
-        }
-        let embedded = match &settings.embedded {
-            Some(embedded) => Some(
-                embedded::start(embedded, addresses.announce)
-                    .await
-                    .map_err(StartError::Embedded)?,
-            ),
-            None => None,
-        };
-        log::info!(
-            endpoint = settings.endpoint.as_str(),
-            callers = addresses.callers.to_string();
-            "daemon serves"
-        );
+        services.register(&registry);
+        let tasks = services.spawn(&settings, bound.peers);
+        let calls = &services.calls;
+        let limits = |connections| http_limits(&settings, connections);
         let state = Running {
+            callers: listen(
+                "callers",
+                bound.callers,
+                apps::callers(Arc::clone(calls)),
+                limits(settings.limits.caller_connections),
+            )?,
+            relay: listen(
+                "relay",
+                bound.relay,
+                apps::relay(Arc::clone(calls)),
+                limits(settings.limits.relay_connections),
+            )?,
+            operators: listen(
+                "operators",
+                bound.operators,
+                services.operators.app(),
+                limits(OPERATOR_CONNECTIONS),
+            )?,
+            announce: listen(
+                "announce",
+                bound.announce,
+                apps::announce(Arc::clone(calls)),
+                limits(ANNOUNCE_CONNECTIONS),
+            )?,
+            embedded: None,
             registry,
-            callers,
-            relay,
-            operators,
-            announce,
-            embedded,
             addresses,
             tasks,
             drain,
         };
-        Ok(Daemon { settings, state })
+        let mut daemon = Daemon { settings, state };
+        daemon.prepare(&services).await?;
+        log::info!(
+            endpoint = daemon.settings.endpoint.as_str(),
+            callers = addresses.callers.to_string();
+            "daemon serves"
+        );
+        Ok(daemon)
     }
 }
 
 impl Daemon<Running> {
+    /// Applies the bootstrap configuration and starts the embedded backend server, when the
+    /// settings ask for them.
+    async fn prepare(&mut self, services: &Services) -> Result<(), StartError> {
+        if let Some(path) = &self.settings.bootstrap {
+            bootstrap(path, &services.commits).await?;
+        }
+        if let Some(embedded) = &self.settings.embedded {
+            let started = embedded::start(embedded, self.state.addresses.announce).await;
+            self.state.embedded = Some(started.map_err(StartError::Embedded)?);
+        }
+        Ok(())
+    }
+
     /// Returns the addresses on which the daemon listens.
     pub fn addresses(&self) -> BoundAddresses {
         self.state.addresses
@@ -346,38 +293,25 @@
     opened.map_err(|source| StartError::Listen { port, address, source })
 }
 
-fn identity(settings: &Settings, addresses: BoundAddresses) -> Identity {
-    let reachable = |address: SocketAddr| match settings.advertise {
-        Some(ip) => SocketAddr::new(ip, address.port()),
-        None => address,
-    };
-    // A clock before 1970 gives 0; the membership core then takes the incarnation that others
-    // still know plus one.
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    Identity {
-        endpoint: settings.endpoint.clone(),
-        data_centre: settings.data_centre.clone(),
-        addresses: Addresses {
-            relay: reachable(addresses.relay),
-            peers: reachable(addresses.peers),
-            operators: reachable(addresses.operators),
-        },
-        incarnation: since_epoch.as_millis() as u64,
-    }
-}
-
-fn distribution_settings(settings: &Settings) -> distribution::Settings {
-    let defaults = distribution::Settings::default();
-    match settings.platform {
-        // Nobody else reads this platform, so that there is no load to spread.
-        PlatformSettings::Memory {} => {
-            distribution::Settings { start_jitter: Duration::ZERO, ..defaults }
-        }
-        PlatformSettings::Http { .. } => defaults,
-    }
+/// Serves an application on a listener.
+fn listen<S>(
+    port: &'static str,
+    listener: TcpListener,
+    app: tide::Server<S>,
+    limits: HttpLimits,
+) -> Result<Serving, StartError>
+where
+    S: Clone + Send + Sync + 'static,
+{
+    let address = listener.local_addr();
+    serve(listener, app, limits).map_err(|source| StartError::Listen {
+        port,
+        address: address.unwrap_or_else(|_| SocketAddr::from(([0, 0, 0, 0], 0))),
+        source,
+    })
 }
 
-fn limits(settings: &Settings, connections: usize) -> HttpLimits {
+fn http_limits(settings: &Settings, connections: usize) -> HttpLimits {
     HttpLimits {
         connections,
         body_bytes: settings.limits.body_bytes,
@@ -386,58 +320,6 @@
     }
 }
 
-fn register(
-    registry: &Registry,
-    mesh: &Arc<Mesh>,
-    calls: &Arc<Calls>,
-    backend: &Arc<Backend>,
-    commits: &Arc<Commits>,
-    operators: &Arc<Operators>,
-) {
-    let results = [
-        registry.register(Mesh::NAME, Arc::clone(mesh)),
-        registry.register(Calls::NAME, Arc::clone(calls)),
-        registry.register(Backend::NAME, Arc::clone(backend)),
-        registry.register(Commits::NAME, Arc::clone(commits)),
-        registry.register(Operators::NAME, Arc::clone(operators)),
-    ];
-    debug_assert!(results.iter().all(Result::is_ok), "names of services are distinct");
-}
-
-fn caller_app(calls: Arc<Calls>) -> tide::Server<Arc<Calls>> {
-    async fn answer(request: Request<Arc<Calls>>) -> tide::Result {
-        let calls = Arc::clone(request.state());
-        Ok(calls.caller(request.into()).await.into())
-    }
-    let mut app = tide::with_state(calls);
-    app.at("/").all(answer);
-    app.at("/*").all(answer);
-    app
-}
-
-fn relay_app(calls: Arc<Calls>) -> tide::Server<Arc<Calls>> {
-    async fn answer(request: Request<Arc<Calls>>) -> tide::Result {
-        let calls = Arc::clone(request.state());
-        Ok(calls.relay(request.into()).await.into())
-    }
-    let mut app = tide::with_state(calls);
-    app.at("/").all(answer);
-    app.at("/*").all(answer);
-    app
-}
-
-fn announce_app(calls: Arc<Calls>) -> tide::Server<Arc<Calls>> {
-    let mut app = tide::with_state(calls);
-    app.at("/announce").post(|request: Request<Arc<Calls>>| async move {
-        let calls = Arc::clone(request.state());
-        Ok(tide::Response::from(calls.announce(request.into()).await))
-    });
-    app.at("/leave").post(|request: Request<Arc<Calls>>| async move {
-        Ok(tide::Response::from(Arc::clone(request.state()).leave().await))
-    });
-    app
-}
-
 /// Applies the configuration file at `path` when the platform holds no configuration.
 async fn bootstrap(path: &Path, commits: &Commits) -> Result<(), StartError> {
     let failed = |detail: String| StartError::Bootstrap(format!("{}: {detail}", path.display()));
--- a/crates/shallottackd/src/lib.rs
+++ b/crates/shallottackd/src/lib.rs
@@ -8,8 +8,10 @@
 pub mod settings;
 pub mod telemetry;
 
+mod apps;
 mod embedded;
 mod operators;
+mod services;
 mod sweeper;
 
 pub use daemon::{Daemon, Running, StartError};
