Count convergence after a fault from the fault's real end

The example ended the fault after a number of changes, but each change submitted to a daemon that is cut off takes seconds to give up, so that the cut lasted some 25 s, and changes from its first part were counted from their acceptance.

Ruled out: slow repair by the cores: simulated, a healed data centre catches up within 1.8 s.

Change: the fault ends by time, and changes of its whole length count from its end.

--- a/crates/bench/examples/convergence.rs
+++ b/crates/bench/examples/convergence.rs
@@ -96,37 +96,41 @@
 
     let busy = Cost::begin(&fleet);
     let fault_at = arguments.changes / 3;
-    let heal_at = fault_at + (FAULT_TIME.as_millis() as u64 / arguments.interval_ms) as usize;
     let mut submitted = Vec::new();
-    let (mut fault_end, mut refused, mut unknown) = (None, 0, 0);
-    for number in 0..arguments.changes.max(heal_at + 1) {
+    let (mut fault, mut refused, mut unknown) = (Fault::default(), 0, 0);
+    for number in 0..arguments.changes {
         if number == fault_at {
-            fault_end = begin_fault(&mut fleet, &arguments.fault, &mut rng).await;
+            fault.begin = Some(Instant::now());
+            fault.end = begin_fault(&mut fleet, &arguments.fault, &mut rng).await;
         }
-        if number == heal_at && end_fault(&fleet, &arguments.fault) {
-            fault_end = Some(Instant::now());
+        if fault.is_over() && end_fault(&fleet, &arguments.fault) {
+            fault.end = Some(Instant::now());
         }
-        if number < arguments.changes {
-            let change = fleet.change(number, &mut rng);
-            let node = rng.random_range(0..arguments.daemons);
-            match fleet.nodes()[node].submit(change).await {
-                Ok(version) => {
-                    submitted.push(Submitted { number, version, at: Instant::now() });
-                }
-                Err(failure) if failure.kind.answer().run == shallottack_kernel::Run::No => {
-                    refused += 1;
-                }
-                Err(_) => unknown += 1,
+        let change = fleet.change(number, &mut rng);
+        let node = rng.random_range(0..arguments.daemons);
+        match fleet.nodes()[node].submit(change).await {
+            Ok(version) => {
+                submitted.push(Submitted { number, version, at: Instant::now() });
             }
+            Err(failure) if failure.kind.answer().run == shallottack_kernel::Run::No => {
+                refused += 1;
+            }
+            Err(_) => unknown += 1,
         }
         sleep(Duration::from_millis(arguments.interval_ms)).await;
     }
+    while arguments.fault != "none" && fault.begin.is_some() && fault.end.is_none() {
+        sleep(Duration::from_millis(arguments.interval_ms)).await;
+        if fault.is_over() && end_fault(&fleet, &arguments.fault) {
+            fault.end = Some(Instant::now());
+        }
+    }
     let last = submitted.iter().map(|it| it.version).max().unwrap_or_default();
     let behind = fleet.wait_in_force(last).await;
     let busy = busy.end(&fleet);
 
     let truth = reference(&fleet).await;
-    let mut times = in_force_times(&fleet, &submitted, fault_end);
+    let mut times = in_force_times(&fleet, &submitted, &fault);
     let wrong_writes = truth.map_or(1, |it| wrong_writes(&submitted, refused, unknown, &it));
     let output = json!({
         "daemons": arguments.daemons,
@@ -161,6 +165,20 @@
     println!("{output}");
 }
 
+/// Times of the fault. It lasts longer than stated when a change is submitted to a daemon that is
+/// cut off, which takes seconds to give up.
+#[derive(Default)]
+struct Fault {
+    begin: Option<Instant>,
+    end: Option<Instant>,
+}
+
+impl Fault {
+    fn is_over(&self) -> bool {
+        self.end.is_none() && self.begin.is_some_and(|it| it.elapsed() >= FAULT_TIME)
+    }
+}
+
 /// Begins a fault; returns its end when it ends at once.
 async fn begin_fault(fleet: &mut Fleet, fault: &str, rng: &mut StdRng) -> Option<Instant> {
     match fault {
@@ -266,11 +284,14 @@
 
 /// Returns the times in milliseconds from acceptance, or from the end of the fault when that came
 /// later, until each change was in force on each daemon.
-fn in_force_times(fleet: &Fleet, submitted: &[Submitted], fault_end: Option<Instant>) -> Vec<f64> {
+fn in_force_times(fleet: &Fleet, submitted: &[Submitted], fault: &Fault) -> Vec<f64> {
     let mut times = Vec::new();
     for change in submitted {
-        let from = match fault_end {
-            Some(end) if change.at > end - FAULT_TIME => change.at.max(end),
+        let from = match (fault.begin, fault.end) {
+            // A change that was accepted just before the fault was still on its way.
+            (Some(begin), Some(end)) if change.at + Duration::from_secs(1) > begin => {
+                change.at.max(end)
+            }
             _ => change.at,
         };
         // A daemon may put the change in force before its submitter hears of the acceptance.
--- a/crates/bench/tests/suite/main.rs
+++ b/crates/bench/tests/suite/main.rs
@@ -1,3 +1,4 @@
 //! Tests with separate processes, and of whole fleets.
 
+mod pages;
 mod processes;
