--- /dev/null
+++ b/crates/fleet/src/directory.rs
@@ -0,0 +1,118 @@
+//! The daemons that this one knows, with their backend servers.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use serde::{Deserialize, Serialize};
+use shallottack_kernel::{DataCentre, EndpointId};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::Server;
+
+/// A daemon and the backend server beside it, as it described them itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Name of the VM.
+    pub vm: EndpointId,
+    /// Orders the starts of daemons of one VM.
+    pub incarnation: u64,
+    /// Orders the descriptions within one incarnation.
+    pub sequence: u64,
+    /// Address for other daemons.
+    pub address: SocketAddr,
+    /// Data centre of the VM.
+    pub zone: DataCentre,
+    /// Whether the daemon is stopping.
+    pub stopping: bool,
+    /// The backend server, once it has said anything.
+    pub server: Option<Server>,
+}
+
+impl Member {
+    fn order(&self) -> (u64, u64) {
+        (self.incarnation, self.sequence)
+    }
+
+    fn digest(&self) -> u64 {
+        let (incarnation, sequence) = self.order();
+        let mut bytes = self.vm.as_str().as_bytes().to_vec();
+        bytes.extend(incarnation.to_le_bytes());
+        bytes.extend(sequence.to_le_bytes());
+        xxh3_64(&bytes)
+    }
+}
+
+/// What a description changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Merge {
+    /// A member that was not known.
+    New,
+    /// A newer description of a known member.
+    Newer,
+    /// Nothing.
+    Known,
+}
+
+/// Known members by VM; descriptions may arrive in any order and from anyone.
+#[derive(Debug, Default)]
+pub struct Directory {
+    members: BTreeMap<EndpointId, Member>,
+    /// Order of descriptions whose member was removed; older ones do not bring it back.
+    removed: BTreeMap<EndpointId, (u64, u64)>,
+    digest: u64,
+}
+
+impl Directory {
+    /// Takes a description.
+    pub fn merge(&mut self, member: &Member) -> Merge {
+        if self.removed.get(&member.vm).is_some_and(|it| *it >= member.order()) {
+            return Merge::Known;
+        }
+        let before = self.members.get(&member.vm);
+        if before.is_some_and(|it| it.order() >= member.order()) {
+            return Merge::Known;
+        }
+        let merged = match before {
+            Some(before) => {
+                self.digest ^= before.digest();
+                Merge::Newer
+            }
+            None => Merge::New,
+        };
+        self.digest ^= member.digest();
+        self.members.insert(member.vm.clone(), member.clone());
+        merged
+    }
+
+    /// Removes a member that is known to have ended.
+    pub fn remove(&mut self, vm: &EndpointId) -> Option<Member> {
+        let member = self.members.remove(vm)?;
+        self.digest ^= member.digest();
+        self.removed.insert(vm.clone(), member.order());
+        Some(member)
+    }
+
+    /// Returns the member on a VM.
+    pub fn get(&self, vm: &EndpointId) -> Option<&Member> {
+        self.members.get(vm)
+    }
+
+    /// Returns all members by VM.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Returns the number of members.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Returns whether no member is known.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// Returns a number that is equal for equal directories.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/placement.rs
@@ -0,0 +1,480 @@
+//! Choice of the backend server for a request, from what is known of all of a service.
+//!
+//! Answers uneven load: the expected time to the end of the run decides, with a preference for
+//! the own data centre. A request first looks for a free slot and is placed again at once where
+//! there is none; only then it waits at the backend server with the shortest expected wait.
+
+use std::{collections::BTreeMap, collections::HashMap, sync::Arc, time::Duration};
+
+use rand::{Rng, RngExt};
+use shallottack_kernel::{DataCentre, EndpointId, ErrorKind, ServiceName, Time};
+
+use crate::{
+    Ask, Attempt, Budget, Choice, Load, Member, Next, Outcome, Server, ServerState, Split,
+};
+
+/// Figures of the placement.
+#[derive(Debug, Clone, Copy)]
+pub struct PlacementSettings {
+    /// Run time assumed for a route without measurements; a typical run of the site's requests.
+    pub first_cost: Duration,
+    /// Weight of one run in the means; they follow within some ten runs.
+    pub weight: f64,
+    /// Part of the goal by which another data centre must be faster to be chosen: bytes between
+    /// data centres cost about as much as this part of the requests being late.
+    pub remote_part: f64,
+    /// Age at which a reported load counts for nothing.
+    pub load_life: Duration,
+    /// Factor of the run time while a backend server is cold, as the sites state it.
+    pub cold_factor: f64,
+    /// Part of the slots that is filled before requests leave the data centre.
+    pub fill: f64,
+    /// Sends in search of a free slot before the request may wait.
+    pub searches: u8,
+    /// Most sends of one request; each takes a round trip between VMs.
+    pub sends: u8,
+    /// First pause after a VM could not be reached; doubled up to `longest_pause`.
+    pub first_pause: Duration,
+    /// Longest pause before a VM is tried again.
+    pub longest_pause: Duration,
+    /// Shortest time after which a rejected caller may come back.
+    pub least_retry: Duration,
+    /// Longest time after which a rejected caller may come back.
+    pub longest_retry: Duration,
+}
+
+impl Default for PlacementSettings {
+    fn default() -> Self {
+        PlacementSettings {
+            first_cost: Duration::from_millis(100),
+            weight: 0.08,
+            remote_part: 0.12,
+            load_life: Duration::from_secs(2),
+            cold_factor: 2.0,
+            fill: 0.9,
+            searches: 2,
+            sends: 5,
+            first_pause: Duration::from_millis(250),
+            longest_pause: Duration::from_secs(2),
+            least_retry: Duration::from_millis(50),
+            longest_retry: Duration::from_secs(1),
+        }
+    }
+}
+
+/// Whether the daemon of a VM answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reach {
+    /// Never heard of directly.
+    Unproven,
+    /// Answered last.
+    Up,
+    /// Did not answer; tried again at `again`.
+    Down { again: Time, pause: Duration },
+}
+
+#[derive(Debug)]
+struct Candidate {
+    member: Member,
+    server: Server,
+    reach: Reach,
+    load: Load,
+    heard: Time,
+    /// Requests sent and not ended.
+    pending: u32,
+    /// Requests sent since the load was reported.
+    since: u32,
+    /// Run time relative to the mean of the route.
+    speed: f64,
+    /// Share of sends that the backend server shed, failed or did not answer.
+    faults: f64,
+    cold: Time,
+}
+
+/// Knowledge of all backend servers that decides where requests go.
+#[derive(Debug)]
+pub struct Placement {
+    settings: PlacementSettings,
+    me: EndpointId,
+    here: DataCentre,
+    candidates: BTreeMap<EndpointId, Candidate>,
+    /// Mean run time of each route in seconds.
+    costs: HashMap<Arc<str>, f64>,
+    budget: Budget,
+    daemons: usize,
+}
+
+impl Placement {
+    /// Creates a placement for the daemon on the VM `me` in the data centre `here`.
+    pub fn new(
+        settings: PlacementSettings,
+        me: EndpointId,
+        here: DataCentre,
+        budget: Budget,
+    ) -> Placement {
+        Placement {
+            settings,
+            me,
+            here,
+            candidates: BTreeMap::new(),
+            costs: HashMap::new(),
+            budget,
+            daemons: 1,
+        }
+    }
+
+    /// Takes a description of a member.
+    pub fn set_member(&mut self, now: Time, member: &Member) {
+        let Some(server) = &member.server else {
+            self.candidates.remove(&member.vm);
+            return;
+        };
+        let cold = now + server.cold;
+        match self.candidates.get_mut(&member.vm) {
+            Some(it) if it.server.id == server.id => {
+                it.member = member.clone();
+                it.server = server.clone();
+                it.cold = cold;
+            }
+            Some(it) => {
+                it.member = member.clone();
+                it.server = server.clone();
+                it.cold = cold;
+                it.load = fresh_load(server);
+                (it.speed, it.faults) = (1.0, 0.0);
+            }
+            None => {
+                let own = member.vm == self.me;
+                let candidate = Candidate {
+                    member: member.clone(),
+                    server: server.clone(),
+                    reach: if own { Reach::Up } else { Reach::Unproven },
+                    load: fresh_load(server),
+                    heard: now,
+                    pending: 0,
+                    since: 0,
+                    speed: 1.0,
+                    faults: 0.0,
+                    cold,
+                };
+                self.candidates.insert(member.vm.clone(), candidate);
+            }
+        }
+    }
+
+    /// Forgets a member that has ended.
+    pub fn remove_member(&mut self, vm: &EndpointId) {
+        self.candidates.remove(vm);
+    }
+
+    /// Sets the number of daemons among which the retry budget is divided.
+    pub fn set_daemons(&mut self, count: usize) {
+        self.daemons = count;
+    }
+
+    /// Takes a report of load from the daemon of a VM. Returns whether it was unreachable before.
+    pub fn heard(&mut self, now: Time, vm: &EndpointId, load: Load) -> bool {
+        let Some(it) = self.candidates.get_mut(vm) else { return false };
+        let regained = it.reach != Reach::Up;
+        it.reach = Reach::Up;
+        it.load = load;
+        it.heard = now;
+        it.since = 0;
+        regained
+    }
+
+    /// Takes the failure of the daemon of a VM to answer. Returns whether it answered before.
+    pub fn lost(&mut self, now: Time, vm: &EndpointId) -> bool {
+        let (first, longest) = (self.settings.first_pause, self.settings.longest_pause);
+        let Some(it) = self.candidates.get_mut(vm).filter(|it| it.member.vm != self.me) else {
+            return false;
+        };
+        let (was_up, pause) = match it.reach {
+            Reach::Down { again, .. } if now < again => return false,
+            Reach::Down { pause, .. } => (false, (pause * 2).min(longest)),
+            Reach::Up => (true, first),
+            Reach::Unproven => (false, first),
+        };
+        it.reach = Reach::Down { again: now + pause, pause };
+        was_up
+    }
+
+    /// Returns whether the daemon of a VM should be asked whether it is there.
+    pub fn probe_due(&self, now: Time, vm: &EndpointId, every: Duration) -> bool {
+        match self.candidates.get(vm) {
+            None => true,
+            Some(it) => match it.reach {
+                Reach::Up => now.since(it.heard) >= every,
+                Reach::Unproven => true,
+                Reach::Down { again, .. } => now >= again,
+            },
+        }
+    }
+
+    /// Counts a request of a caller in the retry budget of its service.
+    pub fn count_request(&mut self, now: Time, service: &ServiceName) {
+        self.budget.request(now, service);
+    }
+
+    /// Chooses where a request goes next, and counts it there.
+    pub fn choose(
+        &mut self,
+        now: Time,
+        rng: &mut dyn Rng,
+        ask: &Ask,
+        attempt: &mut Attempt,
+    ) -> Choice {
+        if ask.deadline <= now {
+            return self.reject(rng, ErrorKind::DeadlineUnmet, Duration::ZERO);
+        }
+        let Some((vm, free)) = self.best(now, rng, ask, attempt) else {
+            return self.reject(rng, ErrorKind::NoEndpoint, Duration::ZERO);
+        };
+        attempt.sent += 1;
+        attempt.tried.push(vm.clone());
+        let may_wait = !free || attempt.sent > self.settings.searches;
+        let it = self.candidates.get_mut(&vm).expect("chosen among the candidates");
+        it.pending += 1;
+        it.since += 1;
+        Choice::Send {
+            address: it.member.address,
+            server: it.server.id.clone(),
+            may_wait,
+            load: it.load,
+            age: now.since(it.heard),
+            vm,
+        }
+    }
+
+    /// Forgets a send whose caller has gone.
+    pub fn cancel(&mut self, vm: &EndpointId) {
+        if let Some(it) = self.candidates.get_mut(vm) {
+            it.pending = it.pending.saturating_sub(1);
+        }
+    }
+
+    /// Takes the end of a send and decides what follows.
+    pub fn ended(
+        &mut self,
+        now: Time,
+        rng: &mut dyn Rng,
+        ask: &Ask,
+        attempt: &mut Attempt,
+        vm: &EndpointId,
+        outcome: Outcome,
+    ) -> Next {
+        self.learn(now, ask, vm, outcome);
+        let (kind, wait) = match outcome {
+            Outcome::Answered { status, .. } => {
+                attempt.arrivals += 1;
+                attempt.ran = true;
+                if status < 500 || !self.may_repeat(now, ask, attempt) {
+                    return Next::Deliver;
+                }
+                return Next::Again;
+            }
+            Outcome::Refused { kind, retry_after } => {
+                if attempt.sent < self.settings.sends && ask.deadline > now {
+                    return Next::Again;
+                }
+                (kind, retry_after)
+            }
+            Outcome::Unreachable => {
+                if attempt.sent < self.settings.sends && ask.deadline > now {
+                    return Next::Again;
+                }
+                (ErrorKind::NoEndpoint, Duration::ZERO)
+            }
+            Outcome::Shed => {
+                attempt.arrivals += 1;
+                if self.may_send_again(now, ask, attempt) {
+                    return Next::Again;
+                }
+                (ErrorKind::Overloaded, self.settings.least_retry)
+            }
+            Outcome::Cut | Outcome::Broken => {
+                attempt.arrivals += 1;
+                attempt.ran = true;
+                if self.may_repeat(now, ask, attempt) {
+                    return Next::Again;
+                }
+                (ErrorKind::AnswerBroken, Duration::ZERO)
+            }
+            Outcome::TimedOut { ran } => {
+                attempt.ran |= ran;
+                (ErrorKind::DeadlineUnmet, Duration::ZERO)
+            }
+        };
+        let Choice::Reject { kind, retry_after } = self.reject(rng, kind, wait) else {
+            unreachable!("`reject` returns a rejection");
+        };
+        Next::Fail { kind: final_kind(kind, attempt), retry_after }
+    }
+
+    /// Returns the kind of error for a request that is rejected before another send.
+    pub fn final_kind(kind: ErrorKind, attempt: &Attempt) -> ErrorKind {
+        final_kind(kind, attempt)
+    }
+
+    fn may_repeat(&mut self, now: Time, ask: &Ask, attempt: &Attempt) -> bool {
+        ask.idempotent && self.may_send_again(now, ask, attempt)
+    }
+
+    /// Returns whether a request that reached a backend server may be sent to another one.
+    fn may_send_again(&mut self, now: Time, ask: &Ask, attempt: &Attempt) -> bool {
+        let cost = Duration::from_secs_f64(self.cost(&ask.route));
+        attempt.arrivals < ask.attempts
+            && attempt.sent < self.settings.sends
+            && now + cost / 2 < ask.deadline
+            && self.others(now, ask, attempt)
+            && self.budget.repeat(now, &ask.service, self.daemons)
+    }
+
+    fn others(&self, now: Time, ask: &Ask, attempt: &Attempt) -> bool {
+        self.usable(now, ask).any(|it| !attempt.tried.contains(&it.member.vm))
+    }
+
+    /// Returns the candidates of a service that may be sent to, by version if possible.
+    fn usable<'a>(&'a self, now: Time, ask: &'a Ask) -> impl Iterator<Item = &'a Candidate> {
+        let open = move |it: &&Candidate| it.server.service == ask.service && it.open(now);
+        let fits = |it: &Candidate| ask.split.allows(&it.server.group);
+        let any_fits = self.candidates.values().filter(open).any(fits);
+        let any = !any_fits && !ask.split.strict();
+        self.candidates.values().filter(open).filter(move |it| any || fits(it))
+    }
+
+    /// Returns the VM with the lowest expected time to the end of the run, and whether it is
+    /// expected to have a free slot.
+    fn best(
+        &self,
+        now: Time,
+        rng: &mut dyn Rng,
+        ask: &Ask,
+        attempt: &Attempt,
+    ) -> Option<(EndpointId, bool)> {
+        let cost = self.cost(&ask.route);
+        let goal = ask.goal.since(now).as_secs_f64().max(cost);
+        let mut best: Option<(f64, &Candidate)> = None;
+        let fresh = self.usable(now, ask).any(|it| !attempt.tried.contains(&it.member.vm));
+        for it in self.usable(now, ask) {
+            // A VM that refused may have room again when all others have refused as well.
+            if fresh && attempt.tried.contains(&it.member.vm) {
+                continue;
+            }
+            let run = cost * it.pace(now, &self.settings);
+            let wait = it.wait(now, &self.settings) * run;
+            let remote = it.member.zone != self.here;
+            let away = if remote { goal * self.settings.remote_part } else { 0.0 };
+            let unproven = if it.reach == Reach::Up { 0.0 } else { goal };
+            let tie = 1.0 + rng.random::<f64>() * 0.05;
+            let score = ((run + wait) * (1.0 + 4.0 * it.faults) + away + unproven) * tie;
+            if best.is_none_or(|(other, _)| score < other) {
+                best = Some((score, it));
+            }
+        }
+        best.map(|(_, it)| (it.member.vm.clone(), it.wait(now, &self.settings) <= 0.0))
+    }
+
+    fn cost(&self, route: &str) -> f64 {
+        self.costs.get(route).copied().unwrap_or(self.settings.first_cost.as_secs_f64())
+    }
+
+    fn learn(&mut self, now: Time, ask: &Ask, vm: &EndpointId, outcome: Outcome) {
+        let weight = self.settings.weight;
+        if let Outcome::Answered { status, run } = outcome
+            && status < 500
+        {
+            let cost = self.cost(&ask.route);
+            let run = run.as_secs_f64();
+            let mean = self.costs.entry(Arc::clone(&ask.route)).or_insert(run);
+            *mean += (run - *mean) * weight;
+            if let Some(it) = self.candidates.get_mut(vm)
+                && now >= it.cold
+            {
+                let ratio = (run / cost.max(0.001)).clamp(0.05, 20.0);
+                it.speed += (ratio - it.speed) * weight;
+            }
+        }
+        let Some(it) = self.candidates.get_mut(vm) else { return };
+        it.pending = it.pending.saturating_sub(1);
+        let fault = match outcome {
+            Outcome::Answered { status, .. } => f64::from(u8::from(status >= 500)),
+            Outcome::Shed | Outcome::Broken | Outcome::Cut => 1.0,
+            Outcome::TimedOut { ran: true } => 1.0,
+            Outcome::Refused { .. } | Outcome::Unreachable | Outcome::TimedOut { ran: false } => {
+                it.faults
+            }
+        };
+        it.faults += (fault - it.faults) * weight;
+        if matches!(outcome, Outcome::Unreachable | Outcome::Cut) {
+            self.lost(now, vm);
+        }
+    }
+
+    /// Returns a rejection whose time to come back is spread, so that callers that are rejected
+    /// together do not return together.
+    fn reject(&self, rng: &mut dyn Rng, kind: ErrorKind, wait: Duration) -> Choice {
+        let (least, longest) = (self.settings.least_retry, self.settings.longest_retry);
+        let spread = 1.0 + rng.random::<f64>();
+        let retry_after = wait.max(least).mul_f64(spread).min(longest);
+        Choice::Reject { kind, retry_after }
+    }
+}
+
+impl Candidate {
+    fn open(&self, now: Time) -> bool {
+        let reachable = match self.reach {
+            Reach::Up | Reach::Unproven => true,
+            Reach::Down { again, .. } => now >= again,
+        };
+        reachable && !self.member.stopping && self.server.state == ServerState::Ready
+    }
+
+    /// Returns the factor of the usual run time.
+    fn pace(&self, now: Time, settings: &PlacementSettings) -> f64 {
+        let cold = if now < self.cold { settings.cold_factor } else { 1.0 };
+        // Running requests are half done on average, or further when run times vary much.
+        let stalled = (f64::from(self.load.pace) / 1_000.0 / 2.0).max(1.0);
+        self.speed * cold * stalled
+    }
+
+    /// Returns the expected wait for a slot, in run times.
+    fn wait(&self, now: Time, settings: &PlacementSettings) -> f64 {
+        let age = now.since(self.heard).as_secs_f64() / settings.load_life.as_secs_f64();
+        let reported = f64::from(self.load.running + self.load.queued) * (1.0 - age).max(0.0);
+        let busy = (reported + f64::from(self.since)).max(f64::from(self.pending));
+        let limit = f64::from(self.load.limit.max(1));
+        if self.load.limit == 0 && age < 1.0 {
+            return f64::from(u16::MAX);
+        }
+        ((busy + 1.0 - limit * settings.fill) / limit).max(0.0)
+    }
+}
+
+fn fresh_load(server: &Server) -> Load {
+    Load { limit: server.slots, ..Load::default() }
+}
+
+/// Returns the kind that is true for everything that happened to the request.
+fn final_kind(kind: ErrorKind, attempt: &Attempt) -> ErrorKind {
+    match kind.answer().run {
+        shallottack_kernel::Run::No if attempt.ran => ErrorKind::OutcomeUnknown,
+        _ => kind,
+    }
+}
+
+impl Split {
+    /// Returns whether a version may run the request.
+    fn allows(&self, group: &shallottack_kernel::GroupName) -> bool {
+        match self {
+            Split::Any => true,
+            Split::Only(only) => group == only,
+            Split::Except { group: other, .. } => group != other,
+        }
+    }
+
+    /// Returns whether the request is rejected rather than run by another version.
+    fn strict(&self) -> bool {
+        matches!(self, Split::Except { strict: true, .. })
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/rollout.rs
@@ -0,0 +1,299 @@
+//! Move of a service to another version, judged from the answers that all daemons saw.
+//!
+//! Every daemon follows the same timetable from the order, counts answers by route and version
+//! and hears the counts of the others. A daemon that finds the new version bad stops using it at
+//! once. The state is reported under a condition, so that it ends only once.
+
+use std::{collections::BTreeMap, collections::HashMap, sync::Arc, time::Duration};
+
+use rand::{Rng, RngExt};
+use serde::{Deserialize, Serialize};
+use shallottack_kernel::{EndpointId, GroupName, ServiceName, Time};
+
+/// Operators' order to move a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Order {
+    /// Version of the order's row in the store.
+    pub row: u64,
+    /// Service that moves.
+    pub service: ServiceName,
+    /// Version that it moves to.
+    pub to: GroupName,
+    /// Time from the order until the move has to be complete.
+    pub within: Duration,
+}
+
+/// State of a move as operators are told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RolloutState {
+    /// Both versions run.
+    Running,
+    /// Only the new version runs.
+    Completed,
+    /// Only the old version runs.
+    RolledBack,
+}
+
+/// Versions that may run a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Split {
+    /// All.
+    Any,
+    /// One, or any when none of it is there.
+    Only(GroupName),
+    /// All but one.
+    Except {
+        /// Version that is not used.
+        group: GroupName,
+        /// Whether it is not used even when there is no other.
+        strict: bool,
+    },
+}
+
+/// Version that gave an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Side {
+    /// One of those in use before.
+    Old,
+    /// The one that the order names.
+    New,
+}
+
+/// Answers of one version on one route.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// All answers.
+    pub all: u32,
+    /// Failures and answers that were several times slower than usual.
+    pub bad: u32,
+}
+
+/// Counts of one daemon for one order.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// Version of the order's row in the store.
+    pub row: u64,
+    /// Old and new version by route.
+    pub routes: BTreeMap<Arc<str>, [Counts; 2]>,
+}
+
+/// What the counts say.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Judgement {
+    /// Nothing against the new version.
+    Open,
+    /// The new version is bad.
+    Bad,
+}
+
+/// What to report now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing; look again later.
+    Wait,
+    /// Report the state.
+    Report(RolloutState),
+}
+
+/// Figures of a move.
+#[derive(Debug, Clone, Copy)]
+pub struct RolloutSettings {
+    /// Share of the new version in the first part of the time. A bad version gets at most a tenth
+    /// of the requests.
+    pub first_share: f64,
+    /// Part of the time after which the share rises.
+    pub hold: f64,
+    /// Time before the end at which all requests go to the new version; the slowest requests of
+    /// the old one end in it.
+    pub settle: Duration,
+    /// Time before the end at which the move is reported complete.
+    pub margin: Duration,
+    /// Factor of the usual run time above which an answer is bad. A bad version is several times
+    /// slower.
+    pub slow: f64,
+    /// Bad answers on one route that are needed for a judgement.
+    pub least_bad: u32,
+    /// Share of bad answers that is needed for a judgement.
+    pub bad_share: f64,
+    /// Factor by which the bad share exceeds that of the old version.
+    pub excess: f64,
+}
+
+impl Default for RolloutSettings {
+    fn default() -> Self {
+        RolloutSettings {
+            first_share: 0.07,
+            hold: 0.55,
+            settle: Duration::from_millis(3_500),
+            margin: Duration::from_millis(700),
+            slow: 4.0,
+            least_bad: 4,
+            bad_share: 0.12,
+            excess: 3.0,
+        }
+    }
+}
+
+/// Share of the new version when the rise begins; small enough that a version that fails under
+/// load only shows itself to few.
+const RISE_FROM: f64 = 0.15;
+/// Weight of one answer of the old version in the usual run time of a route.
+const USUAL_WEIGHT: f64 = 0.05;
+
+/// One move.
+#[derive(Debug)]
+pub struct Rollout {
+    settings: RolloutSettings,
+    order: Order,
+    begun: Time,
+    state: RolloutState,
+    own: Evidence,
+    /// Counts of other daemons by VM and incarnation.
+    others: HashMap<(EndpointId, u64), Evidence>,
+    /// Usual run time of each route at the old version, in seconds.
+    usual: HashMap<Arc<str>, f64>,
+    judged: Judgement,
+}
+
+impl Rollout {
+    /// Creates a move that begins now.
+    pub fn new(settings: RolloutSettings, now: Time, order: Order) -> Rollout {
+        let own = Evidence { row: order.row, ..Evidence::default() };
+        Rollout {
+            settings,
+            order,
+            begun: now,
+            state: RolloutState::Running,
+            own,
+            others: HashMap::new(),
+            usual: HashMap::new(),
+            judged: Judgement::Open,
+        }
+    }
+
+    /// Returns the order.
+    pub fn order(&self) -> &Order {
+        &self.order
+    }
+
+    /// Returns the state.
+    pub fn state(&self) -> RolloutState {
+        self.state
+    }
+
+    /// Takes the reported state, which is final once it is no longer running.
+    pub fn set_state(&mut self, state: RolloutState) {
+        if self.state == RolloutState::Running {
+            self.state = state;
+        }
+    }
+
+    /// Draws the versions that may run a request.
+    pub fn split(&self, now: Time, rng: &mut dyn Rng) -> Split {
+        let group = self.order.to.clone();
+        match self.state {
+            RolloutState::Completed => return Split::Only(group),
+            RolloutState::RolledBack => return Split::Except { group, strict: true },
+            RolloutState::Running => {}
+        }
+        if self.judged == Judgement::Bad {
+            return Split::Except { group, strict: true };
+        }
+        if rng.random::<f64>() < self.share(now) {
+            Split::Only(group)
+        } else {
+            Split::Except { group, strict: false }
+        }
+    }
+
+    /// Returns the share of the new version by the timetable.
+    pub fn share(&self, now: Time) -> f64 {
+        let elapsed = now.since(self.begun).as_secs_f64();
+        let hold = self.order.within.as_secs_f64() * self.settings.hold;
+        let full = self.order.within.saturating_sub(self.settings.settle).as_secs_f64();
+        if elapsed >= full {
+            1.0
+        } else if elapsed < hold {
+            self.settings.first_share
+        } else {
+            let part = (elapsed - hold) / (full - hold);
+            RISE_FROM + (1.0 - RISE_FROM) * part
+        }
+    }
+
+    /// Returns the version that a backend server's group stands for.
+    pub fn side(&self, group: &GroupName) -> Side {
+        if *group == self.order.to { Side::New } else { Side::Old }
+    }
+
+    /// Counts an answer; `cold` runs are not compared with the usual time.
+    pub fn count(&mut self, route: &Arc<str>, side: Side, failed: bool, run: Duration, cold: bool) {
+        let seconds = run.as_secs_f64();
+        let usual = self.usual.get(route).copied();
+        let slow = !cold && usual.is_some_and(|it| seconds > it * self.settings.slow);
+        let counts = self.own.routes.entry(Arc::clone(route)).or_default();
+        let counts = &mut counts[side as usize];
+        counts.all += 1;
+        counts.bad += u32::from(failed || slow);
+        if side == Side::Old && !failed && !cold {
+            let mean = self.usual.entry(Arc::clone(route)).or_insert(seconds);
+            *mean += (seconds - *mean) * USUAL_WEIGHT;
+        }
+        self.judge();
+    }
+
+    /// Returns this daemon's counts.
+    pub fn evidence(&self) -> &Evidence {
+        &self.own
+    }
+
+    /// Takes the counts of another daemon.
+    pub fn hear(&mut self, vm: &EndpointId, incarnation: u64, evidence: &Evidence) {
+        if evidence.row == self.order.row {
+            self.others.insert((vm.clone(), incarnation), evidence.clone());
+            self.judge();
+        }
+    }
+
+    /// Returns what the counts say; a bad version stays bad.
+    pub fn judgement(&self) -> Judgement {
+        self.judged
+    }
+
+    /// Returns what to report.
+    pub fn step(&self, now: Time) -> Step {
+        if self.state != RolloutState::Running {
+            return Step::Wait;
+        }
+        if self.judged == Judgement::Bad {
+            return Step::Report(RolloutState::RolledBack);
+        }
+        let end = self.begun + self.order.within.saturating_sub(self.settings.margin);
+        if now >= end { Step::Report(RolloutState::Completed) } else { Step::Wait }
+    }
+
+    fn judge(&mut self) {
+        let mut total: BTreeMap<&Arc<str>, [Counts; 2]> = BTreeMap::new();
+        let all = self.others.values().chain([&self.own]);
+        for (route, counts) in all.flat_map(|it| &it.routes) {
+            let sum = total.entry(route).or_default();
+            for side in 0..2 {
+                sum[side].all += counts[side].all;
+                sum[side].bad += counts[side].bad;
+            }
+        }
+        if total.values().any(|it| self.is_bad(it)) {
+            self.judged = Judgement::Bad;
+        }
+    }
+
+    fn is_bad(&self, [old, new]: &[Counts; 2]) -> bool {
+        let share = |it: &Counts| f64::from(it.bad) / f64::from(it.all.max(1));
+        // One more bad answer of the old version than seen, since it has few as well at first.
+        let old_share = f64::from(old.bad + 1) / f64::from(old.all + 10);
+        new.bad >= self.settings.least_bad
+            && share(new) >= self.settings.bad_share
+            && share(new) >= old_share * self.settings.excess
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/server.rs
@@ -0,0 +1,163 @@
+//! The backend server on the same VM, as its heartbeats describe it.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use shallottack_kernel::{EndpointId, GroupName, ServiceName, Time};
+
+/// Whether a backend server takes new requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ServerState {
+    /// Takes new requests.
+    Ready,
+    /// Finishes what it has and takes nothing new.
+    Draining,
+    /// Has left or does not answer.
+    Gone,
+}
+
+/// What a backend server says of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// Identifier of the backend server.
+    pub id: EndpointId,
+    /// Service that it runs.
+    pub service: ServiceName,
+    /// Version of its software.
+    pub group: GroupName,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new requests.
+    pub state: ServerState,
+    /// Time for which it stays slow after its start.
+    pub cold: Duration,
+    /// Unix time of its start in milliseconds.
+    pub born: u64,
+    /// Number of the heartbeat within the incarnation.
+    pub sequence: u64,
+}
+
+/// A backend server as other daemons know it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Server {
+    /// Identifier of the backend server.
+    pub id: EndpointId,
+    /// Service that it runs.
+    pub service: ServiceName,
+    /// Version of its software.
+    pub group: GroupName,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new requests.
+    pub state: ServerState,
+    /// Time for which it stays slow, counted from the report.
+    pub cold: Duration,
+}
+
+/// What a heartbeat or a notice of leaving changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Accepted {
+    /// Another backend server, incarnation or state, which other daemons need to hear of.
+    Changed,
+    /// Nothing new.
+    Same,
+    /// Late news of an earlier incarnation; ignored.
+    Stale,
+}
+
+/// State of the backend server on the same VM.
+#[derive(Debug, Default)]
+pub struct LocalServer {
+    known: Option<Known>,
+}
+
+#[derive(Debug)]
+struct Known {
+    server: Server,
+    born: u64,
+    sequence: u64,
+    heard: Time,
+    /// Draining binds for the rest of the incarnation.
+    drained: Option<Time>,
+}
+
+impl LocalServer {
+    /// Takes a heartbeat.
+    pub fn heartbeat(&mut self, now: Time, beat: &Heartbeat) -> Accepted {
+        if let Some(known) = &mut self.known {
+            let same = known.server.id == beat.id;
+            if beat.born < known.born || (same && beat.born == known.born && known.left()) {
+                return Accepted::Stale;
+            }
+            if same && beat.born == known.born {
+                return known.update(now, beat);
+            }
+        }
+        let server = Server {
+            id: beat.id.clone(),
+            service: beat.service.clone(),
+            group: beat.group.clone(),
+            slots: beat.slots,
+            state: beat.state,
+            cold: beat.cold,
+        };
+        let drained = (beat.state != ServerState::Ready).then_some(now);
+        self.known =
+            Some(Known { server, born: beat.born, sequence: beat.sequence, heard: now, drained });
+        Accepted::Changed
+    }
+
+    /// Takes the notice that the backend server `id` leaves without a drain before.
+    pub fn leave(&mut self, now: Time, id: &EndpointId) -> Accepted {
+        match &mut self.known {
+            Some(known) if known.server.id == *id => {
+                known.drained.get_or_insert(now);
+                if known.server.state == ServerState::Gone {
+                    return Accepted::Same;
+                }
+                known.server.state = ServerState::Gone;
+                Accepted::Changed
+            }
+            _ => Accepted::Stale,
+        }
+    }
+
+    /// Returns the backend server if it has said anything.
+    pub fn server(&self) -> Option<&Server> {
+        self.known.as_ref().map(|it| &it.server)
+    }
+
+    /// Returns whether new requests may be sent to the backend server.
+    pub fn open(&self) -> bool {
+        self.known.as_ref().is_some_and(|it| it.server.state == ServerState::Ready)
+    }
+
+    /// Returns the time since the last heartbeat, or `None` before the first.
+    pub fn silence(&self, now: Time) -> Option<Duration> {
+        self.known.as_ref().map(|it| now.since(it.heard))
+    }
+}
+
+impl Known {
+    fn left(&self) -> bool {
+        self.server.state == ServerState::Gone
+    }
+
+    fn update(&mut self, now: Time, beat: &Heartbeat) -> Accepted {
+        if beat.sequence <= self.sequence {
+            return Accepted::Stale;
+        }
+        self.sequence = beat.sequence;
+        self.heard = now;
+        self.server.cold = beat.cold;
+        let state = if self.drained.is_some() { ServerState::Draining } else { beat.state };
+        if state != ServerState::Ready {
+            self.drained.get_or_insert(now);
+        }
+        let changed = self.server.state != state || self.server.slots != beat.slots;
+        self.server.state = state;
+        self.server.slots = beat.slots;
+        if changed { Accepted::Changed } else { Accepted::Same }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/slots.rs
@@ -0,0 +1,298 @@
+//! Slots of the backend server on the same VM: which request runs, waits or is rejected.
+//!
+//! Answers load that exceeds the slots: requests wait in order of rank and of the time by which
+//! their response is due, and a request whose turn can't come in time is rejected at once.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use shallottack_kernel::{ErrorKind, Time};
+use smallvec::SmallVec;
+
+/// Identifies a request at the slots.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TaskId(pub u64);
+
+/// Figures of the slots.
+#[derive(Debug, Clone, Copy)]
+pub struct SlotsSettings {
+    /// Run time assumed for a route without measurements; a typical run of the site's requests.
+    pub first_cost: Duration,
+    /// Weight of one run in the mean run time of a route; the mean follows within some ten runs.
+    pub cost_weight: f64,
+    /// Part of its goal for which a request may wait although it misses the goal then.
+    pub late_part: f64,
+    /// Most waiting requests; a longer queue than this costs more time to keep than it serves.
+    pub queued: usize,
+    /// Shortest time after which a rejected caller is told to come back: a few runs end in it.
+    pub least_retry: Duration,
+}
+
+impl Default for SlotsSettings {
+    fn default() -> Self {
+        SlotsSettings {
+            first_cost: Duration::from_millis(100),
+            cost_weight: 0.05,
+            late_part: 0.5,
+            queued: 256,
+            least_retry: Duration::from_millis(50),
+        }
+    }
+}
+
+/// A request that asks for a slot.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// Identifies the request.
+    pub task: TaskId,
+    /// Route that it came by.
+    pub route: Arc<str>,
+    /// Rank of the route; 0 is the most urgent.
+    pub priority: u8,
+    /// Whether a running request waits for this one.
+    pub nested: bool,
+    /// Time by which the response is of full use.
+    pub goal: Time,
+    /// Time by which the response is of any use.
+    pub deadline: Time,
+    /// Whether it may wait here, because no other backend server has a free slot.
+    pub may_wait: bool,
+}
+
+/// Decision on an arrival.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Runs now.
+    Run,
+    /// Waits for a slot.
+    Wait,
+    /// Is rejected.
+    Reject {
+        /// Why.
+        kind: ErrorKind,
+        /// Time after which a slot is likely to be free in time.
+        retry_after: Duration,
+    },
+}
+
+/// Decision on a request that waited.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Wake {
+    /// Runs now.
+    Start(TaskId),
+    /// Can't be served in time any more.
+    Reject(TaskId, Duration),
+}
+
+/// Load as other daemons are told of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests at the backend server.
+    pub running: u32,
+    /// Requests that wait for a slot.
+    pub queued: u32,
+    /// Requests that may run at once; 0 when none may be sent.
+    pub limit: u32,
+    /// How long the running requests have run, in thousandths of what is usual for them.
+    pub pace: u32,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    arrival: Arrival,
+    cost: Duration,
+}
+
+#[derive(Debug)]
+struct Running {
+    route: Arc<str>,
+    started: Time,
+    cost: Duration,
+}
+
+/// Slots of one backend server.
+#[derive(Debug)]
+pub struct Slots {
+    settings: SlotsSettings,
+    limit: u32,
+    running: HashMap<TaskId, Running>,
+    /// In the order in which they run.
+    queue: Vec<Waiting>,
+    /// Mean run time of each route in microseconds.
+    costs: HashMap<Arc<str>, f64>,
+}
+
+impl Slots {
+    /// Creates slots that admit nothing until [`Slots::set_limit`].
+    pub fn new(settings: SlotsSettings) -> Slots {
+        Slots {
+            settings,
+            limit: 0,
+            running: HashMap::new(),
+            queue: Vec::new(),
+            costs: HashMap::new(),
+        }
+    }
+
+    /// Sets the number of requests that may run at once; with 0, all that wait are rejected.
+    pub fn set_limit(&mut self, now: Time, limit: u32) -> SmallVec<[Wake; 4]> {
+        self.limit = limit;
+        if limit > 0 {
+            return self.dispatch(now);
+        }
+        let least = self.settings.least_retry;
+        self.queue.drain(..).map(|it| Wake::Reject(it.arrival.task, least)).collect()
+    }
+
+    /// Forgets run times, because another backend server runs here now.
+    pub fn reset_costs(&mut self) {
+        self.costs.clear();
+    }
+
+    /// Decides on an arrival.
+    pub fn arrive(&mut self, now: Time, arrival: Arrival) -> Verdict {
+        if self.limit == 0 {
+            let retry_after = self.settings.least_retry;
+            return Verdict::Reject { kind: ErrorKind::NoEndpoint, retry_after };
+        }
+        if self.running() < self.limit && self.queue.is_empty() {
+            self.run(now, &arrival);
+            return Verdict::Run;
+        }
+        let cost = self.cost(&arrival.route);
+        let place = self.place(now, &arrival, cost);
+        let wait = self.wait(now, place);
+        let patience = self.patience(now, &arrival, cost);
+        if !arrival.may_wait || wait > patience || self.queue.len() >= self.settings.queued {
+            let retry_after = wait.saturating_sub(patience).max(self.settings.least_retry);
+            return Verdict::Reject { kind: ErrorKind::Overloaded, retry_after };
+        }
+        self.queue.insert(place, Waiting { arrival, cost });
+        Verdict::Wait
+    }
+
+    /// Takes the end of a run; `measured` states whether it ran to its end.
+    pub fn finish(&mut self, now: Time, task: TaskId, measured: bool) -> SmallVec<[Wake; 4]> {
+        let Some(run) = self.running.remove(&task) else { return SmallVec::new() };
+        if measured {
+            let weight = self.settings.cost_weight;
+            let micros = now.since(run.started).as_micros() as f64;
+            let first = self.settings.first_cost.as_micros() as f64;
+            let mean = self.costs.entry(run.route).or_insert(first);
+            *mean += (micros - *mean) * weight;
+        }
+        self.dispatch(now)
+    }
+
+    /// Forgets a request whose caller has gone.
+    pub fn cancel(&mut self, now: Time, task: TaskId) -> SmallVec<[Wake; 4]> {
+        if let Some(place) = self.queue.iter().position(|it| it.arrival.task == task) {
+            self.queue.remove(place);
+            return SmallVec::new();
+        }
+        self.finish(now, task, false)
+    }
+
+    /// Rejects requests whose turn can no longer come in time.
+    pub fn review(&mut self, now: Time) -> SmallVec<[Wake; 4]> {
+        let mut wakes = SmallVec::new();
+        let mut place = 0;
+        while place < self.queue.len() {
+            let wait = self.wait(now, place);
+            let waiting = &self.queue[place];
+            if now + wait + waiting.cost / 2 > waiting.arrival.deadline {
+                let retry_after = wait.max(self.settings.least_retry);
+                wakes.push(Wake::Reject(waiting.arrival.task, retry_after));
+                self.queue.remove(place);
+            } else {
+                place += 1;
+            }
+        }
+        wakes
+    }
+
+    /// Returns the load as other daemons are told of it.
+    pub fn load(&self, now: Time) -> Load {
+        Load {
+            running: self.running(),
+            queued: self.queue.len() as u32,
+            limit: self.limit,
+            pace: (self.pace(now) * 1_000.0) as u32,
+        }
+    }
+
+    fn running(&self) -> u32 {
+        self.running.len() as u32
+    }
+
+    /// Returns how long the running requests have run relative to their usual whole time. It is
+    /// about 1 in steady state and grows while the backend server is slow or stands still.
+    fn pace(&self, now: Time) -> f64 {
+        let (elapsed, usual) = self.running.values().fold((0.0, 0.0), |(elapsed, usual), it| {
+            (elapsed + now.since(it.started).as_secs_f64(), usual + it.cost.as_secs_f64())
+        });
+        if usual > 0.0 { elapsed / usual } else { 0.0 }
+    }
+
+    fn cost(&self, route: &str) -> Duration {
+        let mean = self.costs.get(route);
+        mean.map_or(self.settings.first_cost, |it| Duration::from_micros(*it as u64))
+    }
+
+    /// Returns the rank in the queue: requests that others wait for, then by priority, then those
+    /// that can still meet their goal.
+    fn rank(now: Time, arrival: &Arrival, cost: Duration) -> (u8, bool, Time) {
+        let priority = if arrival.nested { 0 } else { arrival.priority.saturating_add(1) };
+        (priority, now + cost > arrival.goal, arrival.goal)
+    }
+
+    fn place(&self, now: Time, arrival: &Arrival, cost: Duration) -> usize {
+        let rank = Slots::rank(now, arrival, cost);
+        self.queue.partition_point(|it| Slots::rank(now, &it.arrival, it.cost) <= rank)
+    }
+
+    /// Returns the time until the request at a place of the queue starts.
+    fn wait(&self, now: Time, place: usize) -> Duration {
+        let limit = self.limit.max(1);
+        // A slot gets free when one of the running requests ends; they are half done on average.
+        let residual: Duration = self
+            .running
+            .values()
+            .map(|it| it.cost.saturating_sub(now.since(it.started)).max(it.cost / 4))
+            .sum::<Duration>()
+            / (limit * limit);
+        let before: Duration = self.queue[..place].iter().map(|it| it.cost).sum();
+        residual + before / limit
+    }
+
+    /// Returns how long a request may wait.
+    fn patience(&self, now: Time, arrival: &Arrival, cost: Duration) -> Duration {
+        let left = arrival.deadline.since(now).saturating_sub(cost);
+        if arrival.nested {
+            return left;
+        }
+        let on_time = arrival.goal.since(now).saturating_sub(cost);
+        let late = arrival.goal.since(now).mul_f64(self.settings.late_part);
+        on_time.max(late).min(left)
+    }
+
+    fn run(&mut self, now: Time, arrival: &Arrival) {
+        let cost = self.cost(&arrival.route);
+        let run = Running { route: Arc::clone(&arrival.route), started: now, cost };
+        self.running.insert(arrival.task, run);
+    }
+
+    fn dispatch(&mut self, now: Time) -> SmallVec<[Wake; 4]> {
+        let mut wakes = self.review(now);
+        while self.running() < self.limit && !self.queue.is_empty() {
+            // Ranks change while requests wait: those that missed their goal go behind.
+            let next = (0..self.queue.len())
+                .min_by_key(|&it| Slots::rank(now, &self.queue[it].arrival, self.queue[it].cost))
+                .unwrap_or(0);
+            let waiting = self.queue.remove(next);
+            self.run(now, &waiting.arrival);
+            wakes.push(Wake::Start(waiting.arrival.task));
+        }
+        wakes
+    }
+}
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -1,6 +1,7 @@
 //! Messages and transport between daemons.
 
 mod client;
+mod fleet;
 mod io;
 mod server;
 
@@ -13,7 +14,8 @@
 }
 
 pub use client::{DeliverError, Peers, PeersSettings};
-pub use generated::Envelope;
+pub use fleet::{Answered, FleetHandler, FleetPeers, PeerError, serve_fleet};
+pub use generated::{Envelope, Frame};
 pub use io::Traffic;
 pub use server::{Handler, serve};
 
--- a/crates/shallottackd/src/main.rs
+++ b/crates/shallottackd/src/main.rs
@@ -1,6 +1,9 @@
 //! Daemon that sits beside a backend server.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
 use async_global_executor::GlobalExecutorConfig;
 use async_std::stream::StreamExt;
@@ -19,6 +22,8 @@
     version: bool,
     #[options(help = "settings file", meta = "FILE")]
     settings: Option<PathBuf>,
+    #[options(help = "settings file of a daemon in a fleet on the platform", meta = "FILE")]
+    fleet: Option<PathBuf>,
     #[options(help = "check the settings and exit", no_short)]
     check: bool,
 }
@@ -32,31 +37,71 @@
         println!("shallottackd {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    let Some(path) = &arguments.settings else {
-        eprintln!("shallottackd: --settings FILE is required\nTry `shallottackd --help`.");
-        return ExitCode::from(USAGE);
-    };
+    match (&arguments.settings, &arguments.fleet) {
+        (Some(path), None) => run_mesh(path, arguments.check),
+        (None, Some(path)) => run_fleet(path, arguments.check),
+        _ => {
+            eprintln!(
+                "shallottackd: one of --settings FILE and --fleet FILE is required\n\
+                 Try `shallottackd --help`."
+            );
+            ExitCode::from(USAGE)
+        }
+    }
+}
+
+/// Runs a daemon in a fleet on the platform, on one thread.
+fn run_fleet(path: &Path, check: bool) -> ExitCode {
+    if check {
+        return match shallottack_sidecar::Settings::load(path) {
+            Ok(_) => valid(path),
+            Err(error) => fail(&error.into()),
+        };
+    }
+    start_threads(1);
+    telemetry::install_logs(log::LevelFilter::Info);
+    let path = path.to_owned();
+    run_to_end(async move {
+        shallottack_sidecar::run(&path).await?;
+        Ok(ExitCode::SUCCESS)
+    })
+}
+
+fn valid(path: &Path) -> ExitCode {
+    println!("{}: valid", path.display());
+    ExitCode::SUCCESS
+}
+
+/// Sets the number of threads; has to come before anything else uses the runtime, which is started
+/// with its own defaults otherwise.
+fn start_threads(count: usize) {
+    let threads = GlobalExecutorConfig::default().with_min_threads(count).with_max_threads(count);
+    async_global_executor::init_with_config(threads);
+}
+
+/// Runs a daemon that answers callers itself or through others.
+fn run_mesh(path: &Path, check: bool) -> ExitCode {
     let settings = match Settings::load(path) {
         Ok(settings) => settings,
         Err(error) => return fail(&error.into()),
     };
-    if arguments.check {
-        println!("{}: valid", path.display());
-        return ExitCode::SUCCESS;
+    if check {
+        return valid(path);
     }
-    let threads = GlobalExecutorConfig::default()
-        .with_min_threads(settings.threads)
-        .with_max_threads(settings.threads);
-    // Before anything else uses the runtime, which is started with its own defaults otherwise.
-    async_global_executor::init_with_config(threads);
+    start_threads(settings.threads);
     telemetry::install_logs(settings.log);
     telemetry::install_metrics();
+    run_to_end(run(settings))
+}
+
+/// Runs a daemon to its end.
+fn run_to_end(daemon: impl Future<Output = Result<ExitCode, Report>> + Send + 'static) -> ExitCode {
     // A task rather than a future of the main thread: a stop once waited for ever for a timer while
     // the main thread ran the future itself.
     let (ended, end) = std::sync::mpsc::channel();
     async_std::task::spawn(async move {
         // The receiver waits until the value comes.
-        let _ = ended.send(run(settings).await);
+        let _ = ended.send(daemon.await);
     });
     match end.recv() {
         Ok(Ok(code)) => code,
--- /dev/null
+++ b/crates/sidecar/src/callers.rs
@@ -0,0 +1,454 @@
+//! Requests of callers: route, placement, attempts and the final answer.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures_lite::future;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use shallottack_fleet::{Ask, Attempt, Choice, Match, Next, Outcome, Placement, Route, Split};
+use shallottack_http::{ERROR_HEADER, RUN_HEADER};
+use shallottack_kernel::{EndpointId, ErrorKind, Run, ServiceName, Time};
+use shallottack_rpc::PeerError;
+use shallottack_site::headers;
+
+use crate::{
+    events::Event,
+    gone,
+    listener::{CallerGone, Origin},
+    message::{End, RunReply, RunRequest, decode, encode},
+    node::{Cores, Current, Node},
+    relay,
+    tasks::InProgress,
+};
+
+/// Time that a caller waits at most when neither it nor the route states one.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
+/// Time after which a caller may come back to a daemon without a configuration; the store
+/// answers within milliseconds when it is well.
+const NOT_READY_RETRY: Duration = Duration::from_millis(300);
+/// Time beyond the deadline in which the daemon beside the backend server can state the end.
+const ANSWER_SLACK: Duration = Duration::from_millis(60);
+
+/// A request of a caller whose route is known.
+struct Call {
+    id: String,
+    route: Arc<Route>,
+    service: ServiceName,
+    began: Time,
+    ask: Ask,
+    nested: bool,
+    method: String,
+    target: String,
+    headers: Vec<(String, Vec<u8>)>,
+    body: Bytes,
+    config: u64,
+}
+
+/// A failure of the daemon's own.
+struct Failed {
+    kind: ErrorKind,
+    retry_after: Duration,
+    reason: String,
+    ran: bool,
+}
+
+/// A whole response of a backend server.
+struct Answered {
+    status: u16,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// Answers a caller's request, or returns early when the caller has gone.
+///
+/// # Errors
+///
+/// Returns [`CallerGone`] when the caller closed its connection before the answer.
+pub async fn handle(
+    node: Arc<Node>,
+    origin: Origin,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, CallerGone> {
+    let _progress = InProgress::new(&node);
+    let stream = origin.stream.clone();
+    let answer = async { Ok(answer(&node, &origin, request).await) };
+    let gone = async {
+        gone::closed(&stream).await;
+        Err(CallerGone)
+    };
+    let response = future::or(answer, gone).await;
+    response.map(|mut it| {
+        if node.stopping() {
+            it.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        it
+    })
+}
+
+async fn answer(
+    node: &Arc<Node>,
+    origin: &Origin,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let began = node.now();
+    let id = headers::request_id(request.headers()).unwrap_or("").to_owned();
+    let Some(current) = node.current() else {
+        let retry_after = NOT_READY_RETRY;
+        return refuse(node, &id, began, ErrorKind::NotReady, retry_after, "no configuration yet");
+    };
+    let host = request.headers().get(header::HOST).and_then(|it| it.to_str().ok());
+    let host = host.or_else(|| request.uri().host()).unwrap_or("").to_owned();
+    let route = match current.configuration.find(&host, request.uri().path()) {
+        Match::Found(route) => route,
+        Match::Missing => {
+            let reason = format!("no route for {host}{}", request.uri().path());
+            return refuse(node, &id, began, ErrorKind::NoRoute, Duration::ZERO, &reason);
+        }
+    };
+    let call = match read(node, origin, &current, request, route, began, id.clone()).await {
+        Ok(call) => call,
+        Err((kind, reason)) => {
+            return refuse(node, &id, began, kind, Duration::ZERO, &reason);
+        }
+    };
+    let mut guard = Pending { node, call: &call, at: None, ended: false };
+    let mut attempt = Attempt::default();
+    let result = attempts(node, &call, &mut attempt, &mut guard).await;
+    guard.ended = true;
+    finish(node, &call, &attempt, result)
+}
+
+/// Notes the cancellation of a request whose caller goes before its end.
+struct Pending<'a> {
+    node: &'a Node,
+    call: &'a Call,
+    at: Option<EndpointId>,
+    ended: bool,
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        if let Some(vm) = &self.at {
+            self.node.cores().placement.cancel(vm);
+        }
+        let ms = self.node.now().since(self.call.began).as_millis() as u64;
+        let (id, route) = (self.call.id.as_str(), &*self.call.route.name);
+        self.node.events.write(&Event::Cancelled { id, route, ms });
+    }
+}
+
+async fn read(
+    node: &Node,
+    origin: &Origin,
+    current: &Current,
+    request: Request<Incoming>,
+    route: Arc<Route>,
+    began: Time,
+    id: String,
+) -> Result<Call, (ErrorKind, String)> {
+    let (mut head, body) = request.into_parts();
+    let limit = current.configuration.limits.body_bytes;
+    let body = Limited::new(body, limit).collect().await.map_err(|error| {
+        if error.is::<http_body_util::LengthLimitError>() {
+            (ErrorKind::TooLarge, format!("body over {limit} bytes"))
+        } else {
+            (ErrorKind::BadRequest, error.to_string())
+        }
+    })?;
+    let stated = headers::deadline(&head.headers).unwrap_or(DEFAULT_DEADLINE);
+    let allowed = route.timeout.map_or(stated, |it| it.min(stated));
+    let deadline = began + allowed;
+    let nested = origin.peer.ip() == node.settings.backend.ip();
+    let goal = if nested { allowed } else { route.goal.unwrap_or(allowed).min(allowed) };
+    let service = route.draw(&mut rand::rng()).cloned();
+    let service = service.ok_or((ErrorKind::NoEndpoint, "route has no service".to_owned()))?;
+    headers::strip_hop(&mut head.headers);
+    head.headers.remove(headers::TARGET);
+    let target = head.uri.path_and_query().map_or("/", |it| it.as_str()).to_owned();
+    let ask = Ask {
+        service: service.clone(),
+        split: split(node, &service),
+        route: Arc::clone(&route.name),
+        goal: began + goal,
+        deadline,
+        idempotent: route.idempotent,
+        attempts: route.attempts,
+    };
+    node.cores().placement.count_request(began, &service);
+    Ok(Call {
+        id,
+        service,
+        began,
+        ask,
+        nested,
+        method: head.method.as_str().to_owned(),
+        target,
+        headers: relay::to_wire(&head.headers),
+        body: body.to_bytes(),
+        config: current.configuration.row,
+        route,
+    })
+}
+
+fn split(node: &Node, service: &ServiceName) -> Split {
+    let now = node.now();
+    let cores = node.cores();
+    cores.rollouts.get(service).map_or(Split::Any, |it| it.split(now, &mut rand::rng()))
+}
+
+async fn attempts(
+    node: &Arc<Node>,
+    call: &Call,
+    attempt: &mut Attempt,
+    guard: &mut Pending<'_>,
+) -> Result<Answered, Failed> {
+    let mut last = String::new();
+    loop {
+        let now = node.now();
+        let choice = node.cores().placement.choose(now, &mut rand::rng(), &call.ask, attempt);
+        let (vm, address, server, may_wait) = match choice {
+            Choice::Send { vm, address, server, may_wait, load, age } => {
+                node.events.write(&Event::Placed {
+                    id: &call.id,
+                    route: &call.route.name,
+                    config: call.config,
+                    vm: &vm,
+                    send: attempt.sent,
+                    may_wait,
+                    running: load.running,
+                    queued: load.queued,
+                    limit: load.limit,
+                    age_ms: age.as_millis() as u64,
+                    left_ms: call.ask.deadline.since(now).as_millis() as u64,
+                });
+                (vm, address, server, may_wait)
+            }
+            Choice::Reject { kind, retry_after } => {
+                let kind = Placement::final_kind(kind, attempt);
+                let reason = if last.is_empty() { "no backend server to send to" } else { &last };
+                let reason = reason.to_owned();
+                return Err(Failed { kind, retry_after, reason, ran: attempt.ran });
+            }
+        };
+        guard.at = Some(vm.clone());
+        let (outcome, answer, reason) = send(node, call, &vm, address, server, may_wait).await;
+        guard.at = None;
+        let ended = node.now();
+        if !matches!(outcome, Outcome::Answered { .. }) {
+            node.events.write(&Event::SendFailed {
+                id: &call.id,
+                vm: &vm,
+                outcome: format!("{outcome:?}"),
+                reason: &reason,
+                ms: ended.since(now).as_millis() as u64,
+            });
+        }
+        let mut cores = node.cores();
+        if let Outcome::Answered { status, run } = outcome {
+            count(&mut cores, call, &vm, status, run);
+        }
+        let next = cores.placement.ended(ended, &mut rand::rng(), &call.ask, attempt, &vm, outcome);
+        drop(cores);
+        match (next, answer) {
+            (Next::Deliver, Some(answer)) => return Ok(answer),
+            (Next::Again, _) => last = reason,
+            (Next::Fail { kind, retry_after }, _) => {
+                return Err(Failed { kind, retry_after, reason, ran: attempt.ran });
+            }
+            (Next::Deliver, None) => {
+                let (kind, retry_after) = (ErrorKind::AnswerBroken, Duration::ZERO);
+                return Err(Failed { kind, retry_after, reason, ran: true });
+            }
+        }
+    }
+}
+
+/// Counts an answer for the rollout of its service, if there is one.
+fn count(cores: &mut Cores, call: &Call, vm: &EndpointId, status: u16, run: Duration) {
+    let Some(rollout) = cores.rollouts.get_mut(&call.service) else { return };
+    let Some(server) = cores.directory.get(vm).and_then(|it| it.server.as_ref()) else { return };
+    let side = rollout.side(&server.group);
+    rollout.count(&call.route.name, side, status >= 500, run, !server.cold.is_zero());
+}
+
+/// Sends a request to the daemon of a VM, which can be this one.
+async fn send(
+    node: &Arc<Node>,
+    call: &Call,
+    vm: &EndpointId,
+    address: std::net::SocketAddr,
+    server: EndpointId,
+    may_wait: bool,
+) -> (Outcome, Option<Answered>, String) {
+    let now = node.now();
+    let left = call.ask.deadline.since(now);
+    let request = RunRequest {
+        id: call.id.clone(),
+        service: call.service.clone(),
+        server,
+        caller: node.settings.service.clone(),
+        route: Arc::clone(&call.route.name),
+        priority: call.route.priority,
+        nested: call.nested,
+        idempotent: call.route.idempotent,
+        goal: call.ask.goal.since(now),
+        left,
+        may_wait,
+        method: call.method.clone(),
+        target: call.target.clone(),
+        headers: call.headers.clone(),
+    };
+    if *vm == node.settings.vm {
+        let (end, body) = relay::run(node, request, call.body.clone()).await;
+        let load = node.load();
+        node.cores().placement.heard(node.now(), vm, load);
+        return outcome(end, body);
+    }
+    let exchange = node.peers.run(address, encode(&request), call.body.clone());
+    let within = left + ANSWER_SLACK;
+    let frame = match async_std::future::timeout(within, exchange).await {
+        Ok(Ok(frame)) => frame,
+        Ok(Err(PeerError::Unsent(reason))) => return (Outcome::Unreachable, None, reason),
+        Ok(Err(PeerError::Cut(reason))) => return (Outcome::Cut, None, reason),
+        Err(_) => {
+            let reason = "no answer from the daemon before the deadline".to_owned();
+            return (Outcome::TimedOut { ran: true }, None, reason);
+        }
+    };
+    match decode::<RunReply>(&frame.head) {
+        Ok(reply) => {
+            node.heard_from(vm, reply.load);
+            if reply.config > node.config_row() {
+                node.sync_soon(vm);
+            }
+            outcome(reply.end, frame.body)
+        }
+        Err(reason) => (Outcome::Cut, None, reason),
+    }
+}
+
+fn outcome(end: End, body: Bytes) -> (Outcome, Option<Answered>, String) {
+    match end {
+        End::Answered { status, headers, run } => match relay::from_wire(&headers) {
+            Ok(headers) => {
+                let answer = Answered { status, headers, body };
+                (Outcome::Answered { status, run }, Some(answer), format!("status {status}"))
+            }
+            Err(reason) => (Outcome::Broken, None, reason),
+        },
+        End::Shed => (Outcome::Shed, None, "shed by the backend server".to_owned()),
+        End::Refused { kind, after } => {
+            let reason = format!("refused by the daemon of the backend server: {kind}");
+            (Outcome::Refused { kind, retry_after: after }, None, reason)
+        }
+        End::Broken(reason) => (Outcome::Broken, None, reason),
+        End::TimedOut => {
+            let reason = "deadline passed at the backend server".to_owned();
+            (Outcome::TimedOut { ran: true }, None, reason)
+        }
+    }
+}
+
+fn finish(
+    node: &Node,
+    call: &Call,
+    attempt: &Attempt,
+    result: Result<Answered, Failed>,
+) -> Response<Full<Bytes>> {
+    let passed = node.now().since(call.began);
+    let ms = passed.as_millis() as u64;
+    let route = Arc::clone(&call.route.name);
+    let outcome = match &result {
+        Ok(_) => "answered",
+        Err(failed) if failed.kind.answer().run == Run::No => "rejected",
+        Err(_) => "failed",
+    };
+    let labels = [("route", metrics::SharedString::from(route)), ("outcome", outcome.into())];
+    metrics::counter!("shallottack_requests_total", &labels).increment(1);
+    metrics::histogram!("shallottack_request_seconds", &labels).record(passed.as_secs_f64());
+    match result {
+        Ok(answer) => {
+            node.events.write(&Event::Answered {
+                id: &call.id,
+                route: &call.route.name,
+                status: answer.status,
+                sends: attempt.sent,
+                arrivals: attempt.arrivals,
+                ms,
+                goal_ms: call.ask.goal.since(call.began).as_millis() as u64,
+            });
+            let mut response = Response::new(Full::new(answer.body));
+            // The status came through a typed response, so that it is valid.
+            *response.status_mut() =
+                StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+            *response.headers_mut() = answer.headers;
+            response
+        }
+        Err(failed) => {
+            node.events.write(&Event::Rejected {
+                id: &call.id,
+                route: &call.route.name,
+                kind: failed.kind.as_str(),
+                status: failed.kind.answer().status,
+                ran: failed.ran,
+                reason: &failed.reason,
+                retry_after_ms: failed.retry_after.as_millis() as u64,
+                sends: attempt.sent,
+                arrivals: attempt.arrivals,
+                ms,
+                config: call.config,
+            });
+            error_response(&call.id, failed.kind, failed.retry_after)
+        }
+    }
+}
+
+/// Refuses a request before it was placed.
+fn refuse(
+    node: &Node,
+    id: &str,
+    began: Time,
+    kind: ErrorKind,
+    retry_after: Duration,
+    reason: &str,
+) -> Response<Full<Bytes>> {
+    metrics::counter!("shallottack_refused_total", "kind" => kind.as_str()).increment(1);
+    node.events.write(&Event::Rejected {
+        id,
+        route: "",
+        kind: kind.as_str(),
+        status: kind.answer().status,
+        ran: false,
+        reason,
+        retry_after_ms: retry_after.as_millis() as u64,
+        sends: 0,
+        arrivals: 0,
+        ms: node.now().since(began).as_millis() as u64,
+        config: node.config_row(),
+    });
+    error_response(id, kind, retry_after)
+}
+
+fn error_response(id: &str, kind: ErrorKind, retry_after: Duration) -> Response<Full<Bytes>> {
+    let answer = kind.answer();
+    let mut response = Response::new(Full::default());
+    *response.status_mut() =
+        StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let all = response.headers_mut();
+    let run = if answer.run == Run::No { "no" } else { "unknown" };
+    all.insert(ERROR_HEADER, HeaderValue::from_static(kind.as_str()));
+    all.insert(RUN_HEADER, HeaderValue::from_static(run));
+    if answer.retry_after {
+        all.insert(header::RETRY_AFTER, headers::retry_after(retry_after));
+    }
+    // The identifier came in a header, so that it is valid in one.
+    if let Ok(id) = HeaderValue::from_str(id) {
+        all.insert(headers::REQUEST_ID, id);
+    }
+    response
+}
--- /dev/null
+++ b/crates/sidecar/src/follow.rs
@@ -0,0 +1,169 @@
+//! Following the tables of the store: configuration and orders, members, and rollout reports.
+
+use std::{sync::Arc, time::Duration};
+
+use async_std::task;
+use rand::RngExt;
+use shallottack_fleet::Member;
+use shallottack_site::{
+    configuration, rollout,
+    store::{Row, Rows, Store, StoreError},
+};
+
+use crate::{
+    events::Event,
+    message::{Document, decode},
+    node::Node,
+};
+
+/// Table in which each daemon describes itself.
+pub const MEMBERS: &str = "members";
+/// Longest wait for a change of the configuration. A connection that has gone silent is noticed
+/// after it, within the time that a configuration has to be in force.
+const CONFIG_WAIT: Duration = Duration::from_millis(1_500);
+/// Longest wait for a change of the members, which the daemons also tell each other.
+const MEMBERS_WAIT: Duration = Duration::from_secs(8);
+/// Pause after the first failed call; doubled up to the longest.
+const FIRST_PAUSE: Duration = Duration::from_millis(60);
+/// Longest pause between calls that fail: the entries have to be back two seconds after the store.
+const LONGEST_PAUSE: Duration = Duration::from_millis(700);
+/// Jitter of the first read after the start, so that daemons that start together spread.
+const START_JITTER_MS: u64 = 50;
+
+/// A table that is followed.
+#[derive(Debug, Clone, Copy)]
+pub enum Table {
+    /// What operators write.
+    Operators,
+    /// Descriptions of the daemons.
+    Members,
+    /// Reports of rollouts.
+    Status,
+}
+
+impl Table {
+    fn name(self) -> &'static str {
+        match self {
+            Table::Operators => configuration::TABLE,
+            Table::Members => MEMBERS,
+            Table::Status => rollout::STATUS_TABLE,
+        }
+    }
+
+    fn wait(self) -> Duration {
+        match self {
+            Table::Operators | Table::Status => CONFIG_WAIT,
+            Table::Members => MEMBERS_WAIT,
+        }
+    }
+}
+
+/// Follows `table` for ever.
+pub async fn follow(node: Arc<Node>, table: Table) {
+    let store = Store::new(node.settings.store);
+    let jitter = rand::rng().random_range(0..=START_JITTER_MS);
+    task::sleep(Duration::from_millis(jitter)).await;
+    let mut follower = Follower { node, table, store, version: None, pause: FIRST_PAUSE, up: None };
+    loop {
+        if let Table::Status = table {
+            follower.wait_for_rollout().await;
+        }
+        follower.step().await;
+    }
+}
+
+struct Follower {
+    node: Arc<Node>,
+    table: Table,
+    store: Store,
+    /// Version of the store up to which changes are known.
+    version: Option<u64>,
+    pause: Duration,
+    up: Option<bool>,
+}
+
+impl Follower {
+    async fn step(&mut self) {
+        let name = self.table.name();
+        let read = match self.version {
+            None => self.store.rows(name).await,
+            Some(version) => self.store.changes(name, version, self.table.wait()).await,
+        };
+        match read {
+            Ok(rows) => self.take(&rows),
+            Err(StoreError::Compacted) => {
+                self.version = None;
+                self.note(true, "history is gone");
+            }
+            Err(error) => {
+                self.note(false, &error.to_string());
+                let jitter = rand::rng().random_range(0.6..1.4);
+                task::sleep(self.pause.mul_f64(jitter)).await;
+                self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+            }
+        }
+    }
+
+    fn take(&mut self, rows: &Rows) {
+        self.note(true, "");
+        self.pause = FIRST_PAUSE;
+        for row in &rows.rows {
+            match self.table {
+                Table::Operators => take_operators_row(&self.node, row),
+                Table::Members => take_member_row(&self.node, row),
+                Table::Status => take_status_row(&self.node, row),
+            }
+        }
+        self.version = Some(rows.version);
+    }
+
+    /// Reports of rollouts are of use only while there is an order.
+    async fn wait_for_rollout(&mut self) {
+        while self.node.cores().rollouts.is_empty() {
+            task::sleep(Duration::from_millis(200)).await;
+        }
+    }
+
+    fn note(&mut self, up: bool, reason: &str) {
+        if self.up != Some(up) {
+            self.up = Some(up);
+            let state = if up { "reached" } else { "lost" };
+            self.node.events.write(&Event::Store { table: self.table.name(), state, reason });
+        }
+    }
+}
+
+fn take_operators_row(node: &Arc<Node>, row: &Row) {
+    let Some(bytes) = &row.value else { return };
+    if row.key == configuration::KEY {
+        let document = Document { row: row.version, bytes: bytes.as_slice().into() };
+        node.offer_config(&document, "store");
+    } else if rollout::is_rollout(&row.key) {
+        match rollout::decode_order(row.version, bytes) {
+            Ok(order) => node.order(order),
+            Err(reason) => malformed(node, &row.key, &reason),
+        }
+    }
+}
+
+fn take_member_row(node: &Arc<Node>, row: &Row) {
+    // Rows without a value were removed by the daemon itself at its end.
+    let Some(bytes) = &row.value else { return };
+    match decode::<Member>(bytes) {
+        Ok(member) => node.offer_member(&member),
+        Err(reason) => malformed(node, &row.key, &reason),
+    }
+}
+
+fn take_status_row(node: &Arc<Node>, row: &Row) {
+    let (Some(bytes), Some(service)) = (&row.value, rollout::service(&row.key)) else { return };
+    match rollout::decode_status(bytes) {
+        Ok((to, state)) => node.reported(&service, &to, state, row.version),
+        Err(reason) => malformed(node, &row.key, &reason),
+    }
+}
+
+fn malformed(node: &Node, key: &str, reason: &str) {
+    let reason = format!("row {key}: {reason}");
+    node.events.write(&Event::Store { table: "", state: "malformed", reason: &reason });
+}
--- /dev/null
+++ b/crates/sidecar/src/message.rs
@@ -0,0 +1,139 @@
+//! Messages between daemons.
+
+use std::{sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use shallottack_fleet::{Evidence, Load, Member};
+use shallottack_kernel::{EndpointId, ErrorKind, ServiceName};
+
+/// Head of a request on its way to the daemon beside the backend server; the body follows it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct RunRequest {
+    /// Identifier that the caller gave the request.
+    pub id: String,
+    /// Service that runs it.
+    pub service: ServiceName,
+    /// Identifier of the backend server that is meant.
+    pub server: EndpointId,
+    /// Service on whose VM the request started.
+    pub caller: ServiceName,
+    /// Route that it came by.
+    pub route: Arc<str>,
+    /// Rank of the route.
+    pub priority: u8,
+    /// Whether a running request waits for this one.
+    pub nested: bool,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// Time left in which the response is of full use.
+    pub goal: Duration,
+    /// Time left in which the response is of any use.
+    pub left: Duration,
+    /// Whether it may wait for a slot.
+    pub may_wait: bool,
+    /// Method.
+    pub method: String,
+    /// Path and query as the caller sent them.
+    pub target: String,
+    /// Headers that are passed on.
+    pub headers: Vec<(String, Vec<u8>)>,
+}
+
+/// Head of the answer to a [`RunRequest`]; the body of a response follows it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct RunReply {
+    /// How the request ended.
+    pub end: End,
+    /// Load of the backend server.
+    pub load: Load,
+    /// Row version of the configuration in force at the sender.
+    pub config: u64,
+}
+
+/// How a request ended at the daemon beside the backend server.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum End {
+    /// The backend server gave a whole answer.
+    Answered {
+        /// Status code.
+        status: u16,
+        /// Headers that are passed on.
+        headers: Vec<(String, Vec<u8>)>,
+        /// Time that it ran.
+        run: Duration,
+    },
+    /// The backend server stated that it did not run the request.
+    Shed,
+    /// It did not reach the backend server.
+    Refused {
+        /// Why.
+        kind: ErrorKind,
+        /// Time after which there may be room.
+        after: Duration,
+    },
+    /// The backend server's answer was lost, broken or another request's.
+    Broken(String),
+    /// No answer came before the deadline.
+    TimedOut,
+}
+
+/// A configuration as it lies in the store.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Document {
+    /// Version of its row.
+    pub row: u64,
+    /// Value of the row.
+    pub bytes: Arc<[u8]>,
+}
+
+/// What a daemon tells another one about itself, and what it holds.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct SyncRequest {
+    /// Description of the sender.
+    pub own: Member,
+    /// Load of its backend server.
+    pub load: Load,
+    /// Row version of its configuration, 0 for none.
+    pub config: u64,
+    /// Digest of its directory.
+    pub digest: u64,
+    /// Counts of the rollouts in progress.
+    pub evidence: Vec<Evidence>,
+    /// Configuration that the receiver is known to lack.
+    pub document: Option<Document>,
+    /// Members, when the receiver's directory is known to differ.
+    pub members: Vec<Member>,
+}
+
+/// Answer to a [`SyncRequest`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct SyncReply {
+    /// Description of the sender.
+    pub own: Member,
+    /// Load of its backend server.
+    pub load: Load,
+    /// Row version of its configuration, 0 for none.
+    pub config: u64,
+    /// Configuration that the receiver lacks.
+    pub document: Option<Document>,
+    /// Members, when the directories differ.
+    pub members: Vec<Member>,
+}
+
+/// Encodes a message.
+///
+/// # Panics
+///
+/// Never: the messages have no type that the codec can't encode.
+pub fn encode<T: Serialize>(message: &T) -> Vec<u8> {
+    postcard::to_stdvec(message).expect("messages can be encoded")
+}
+
+/// Decodes a message.
+///
+/// # Errors
+///
+/// Returns the codec's message.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, String> {
+    postcard::from_bytes(bytes).map_err(|it| it.to_string())
+}
--- /dev/null
+++ b/crates/sidecar/src/rollouts.rs
@@ -0,0 +1,112 @@
+//! Orders of rollouts, and the reports on them.
+
+use std::{sync::Arc, time::Duration};
+
+use async_std::task;
+use rand::RngExt;
+use shallottack_fleet::{Order, Rollout, RolloutSettings, RolloutState, Step};
+use shallottack_kernel::{GroupName, ServiceName};
+use shallottack_site::{
+    rollout::{STATUS_TABLE, decode_status, encode_status, status_key},
+    store::{Store, Written},
+};
+
+use crate::{events::Event, node::Node};
+
+/// Time between looks at the rollouts.
+const LOOK_EVERY: Duration = Duration::from_millis(200);
+/// Longest random wait before a report, so that one daemon mostly reports for all.
+const REPORT_JITTER_MS: u64 = 150;
+
+impl Node {
+    /// Takes an order.
+    pub fn order(&self, order: Order) {
+        let now = self.now();
+        let mut cores = self.cores();
+        if cores.rollouts.get(&order.service).is_some_and(|it| it.order().row >= order.row) {
+            return;
+        }
+        let service = order.service.clone();
+        let rollout = Rollout::new(RolloutSettings::default(), now, order);
+        self.note_rollout(&rollout, now, "ordered");
+        cores.rollouts.insert(service, rollout);
+    }
+
+    /// Takes a report of any daemon. One that is older than the order is about an earlier move.
+    pub fn reported(&self, service: &ServiceName, to: &GroupName, state: RolloutState, row: u64) {
+        let now = self.now();
+        let mut cores = self.cores();
+        let Some(rollout) = cores.rollouts.get_mut(service) else { return };
+        let about = rollout.order().to == *to && row > rollout.order().row;
+        if about && rollout.state() != state {
+            rollout.set_state(state);
+            self.note_rollout(rollout, now, "reported");
+        }
+    }
+
+    fn note_rollout(&self, rollout: &Rollout, now: shallottack_kernel::Time, reason: &str) {
+        self.events.write(&Event::Rollout {
+            service: rollout.order().service.as_str(),
+            to: rollout.order().to.as_str(),
+            state: rollout.state(),
+            share: rollout.share(now),
+            reason,
+        });
+    }
+}
+
+/// Reports what rollouts come to, for ever.
+pub async fn report(node: Arc<Node>) {
+    let store = Store::new(node.settings.store);
+    loop {
+        task::sleep(LOOK_EVERY).await;
+        for (order, state) in due(&node) {
+            let jitter = rand::rng().random_range(0..=REPORT_JITTER_MS);
+            task::sleep(Duration::from_millis(jitter)).await;
+            if let Err(reason) = write(&node, &store, &order, state).await {
+                log::warn!("can't report the rollout of {}: {reason}", order.service);
+            }
+        }
+    }
+}
+
+/// Returns the states to report: the first one, and the last.
+fn due(node: &Node) -> Vec<(Order, RolloutState)> {
+    let now = node.now();
+    let cores = node.cores();
+    let running = cores.rollouts.values().filter(|it| it.state() == RolloutState::Running);
+    running
+        .filter_map(|it| match it.step(now) {
+            Step::Report(state) => Some((it.order().clone(), state)),
+            Step::Wait => None,
+        })
+        .collect()
+}
+
+/// Writes a report under the condition that no final one has been written for the order.
+async fn write(
+    node: &Node,
+    store: &Store,
+    order: &Order,
+    state: RolloutState,
+) -> Result<(), String> {
+    let key = status_key(&order.service);
+    let rows = store.rows(STATUS_TABLE).await.map_err(|it| it.to_string())?;
+    let row = rows.rows.iter().find(|it| it.key == key);
+    let version = row.map_or(0, |it| it.version);
+    if let Some(bytes) = row.and_then(|it| it.value.as_deref()) {
+        let (to, found) = decode_status(bytes)?;
+        if to == order.to && version > order.row && found != RolloutState::Running {
+            node.reported(&order.service, &to, found, version);
+            return Ok(());
+        }
+    }
+    let value = encode_status(&order.to, state);
+    let written = store.write(STATUS_TABLE, &key, version, Some(&value)).await;
+    match written.map_err(|it| it.to_string())? {
+        Written::Done(row) => node.reported(&order.service, &order.to, state, row),
+        // Another daemon reported at the same time; its report is read at the next look.
+        Written::Conflict(_) => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/sidecar/src/settings.rs
@@ -0,0 +1,151 @@
+//! Settings of the daemon, read from YAML and checked whole.
+
+use std::{net::SocketAddr, path::Path, time::Duration};
+
+use miette::Diagnostic;
+use serde::Deserialize;
+use serde_with::serde_as;
+use shallottack_kernel::{DataCentre, EndpointId, ServiceName};
+use shallottack_site::TextDuration;
+
+/// Settings of one daemon.
+#[serde_as]
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the VM.
+    pub vm: EndpointId,
+    /// Data centre of the VM.
+    pub data_centre: DataCentre,
+    /// Service of the backend server on the VM.
+    pub service: ServiceName,
+    /// Address of the backend server.
+    pub backend: SocketAddr,
+    /// Addresses to listen on.
+    pub listen: Listen,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Time between heartbeats of the backend server.
+    #[serde_as(as = "TextDuration")]
+    pub heartbeat: Duration,
+    /// How the daemon stops.
+    pub stop: StopSettings,
+    /// Repeats that the whole fleet may send.
+    pub retries: Retries,
+}
+
+/// How the daemon stops.
+#[serde_as]
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StopSettings {
+    /// Time between SIGTERM and SIGKILL.
+    #[serde_as(as = "TextDuration")]
+    pub grace: Duration,
+}
+
+/// Repeats that the whole fleet may send to one service.
+#[serde_as]
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Retries {
+    /// Repeats for each request in the window.
+    pub ratio: f64,
+    /// Repeats in the window besides.
+    pub extra: f64,
+    /// Length of the window.
+    #[serde_as(as = "TextDuration")]
+    pub window: Duration,
+}
+
+/// Addresses to listen on.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// Requests of callers and of the backend server, HTTP/1.1.
+    pub callers: SocketAddr,
+    /// Calls of other daemons, gRPC.
+    pub peers: SocketAddr,
+    /// Question whether the daemon takes callers, HTTP/1.1.
+    pub ready: SocketAddr,
+    /// Heartbeats of the backend server, HTTP/1.1.
+    pub heartbeats: SocketAddr,
+    /// Metrics in Prometheus' format, HTTP/1.1.
+    pub metrics: SocketAddr,
+}
+
+/// Why the settings can't be used.
+#[derive(Debug, thiserror::Error, Diagnostic)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[error("settings file {path} can't be read: {source}")]
+    Read {
+        /// Path of the file.
+        path: String,
+        /// Error of the operating system.
+        source: std::io::Error,
+    },
+    /// The file is not valid YAML or has a wrong, missing or unknown key.
+    #[error("settings are malformed: {0}")]
+    Parse(String),
+    /// Values are out of range or contradict each other.
+    #[error("settings are invalid: {0}")]
+    Invalid(String),
+}
+
+impl Settings {
+    /// Reads and checks the settings in the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SettingsError`] with what is wrong.
+    pub fn load(path: &Path) -> Result<Settings, SettingsError> {
+        let read = std::fs::read_to_string(path);
+        let path = path.display().to_string();
+        Settings::parse(&read.map_err(|source| SettingsError::Read { path, source })?)
+    }
+
+    /// Parses and checks settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SettingsError`] with what is wrong.
+    pub fn parse(text: &str) -> Result<Settings, SettingsError> {
+        let settings: Settings = serde_saphyr::from_str(text)
+            .map_err(|it| SettingsError::Parse(it.without_snippet().to_string()))?;
+        let problems = settings.problems();
+        if problems.is_empty() {
+            return Ok(settings);
+        }
+        Err(SettingsError::Invalid(problems.join("; ")))
+    }
+
+    fn problems(&self) -> Vec<&'static str> {
+        let mut problems = Vec::new();
+        let second = Duration::from_secs(1);
+        if self.heartbeat.is_zero() || self.heartbeat > 60 * second {
+            problems.push("heartbeat: expected more than 0 s and at most 60 s");
+        }
+        if self.stop.grace < second {
+            problems.push("stop.grace: expected 1 s or more");
+        }
+        if self.retries.window.is_zero() {
+            problems.push("retries.window: expected more than 0 s");
+        }
+        if !(0.0..=1.0).contains(&self.retries.ratio) || self.retries.extra < 0.0 {
+            problems.push("retries: expected a ratio from 0 to 1 and an extra from 0");
+        }
+        let ports = [
+            self.listen.callers,
+            self.listen.peers,
+            self.listen.ready,
+            self.listen.heartbeats,
+            self.listen.metrics,
+        ];
+        let repeated = |at: usize| ports[at].port() != 0 && ports[..at].contains(&ports[at]);
+        if (0..ports.len()).any(repeated) {
+            problems.push("listen: expected a different address for each use");
+        }
+        problems
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/sync.rs
@@ -0,0 +1,190 @@
+//! Exchange between daemons: liveness, load, configuration, members and evidence of rollouts.
+
+use std::{sync::Arc, time::Duration};
+
+use async_std::task;
+use rand::RngExt;
+use shallottack_fleet::{Evidence, Load, Member, RolloutState};
+use shallottack_kernel::EndpointId;
+use shallottack_rpc::PeerError;
+
+use crate::{
+    events::Event,
+    message::{Document, SyncReply, SyncRequest, decode, encode},
+    node::Node,
+};
+
+/// Time between looks at which daemons have to be asked.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+/// Exchanges that this daemon begins in a second, over all others; bounds the traffic of large
+/// fleets to that of small ones.
+const EXCHANGES_PER_S: f64 = 12.0;
+/// Shortest time between exchanges with a daemon that answers.
+const LEAST_EVERY: Duration = Duration::from_millis(800);
+/// The same while a rollout is judged, so that all daemons judge the same counts.
+const ROLLOUT_EVERY: Duration = Duration::from_millis(500);
+/// Time for one exchange; a VM at a fifth of its speed still answers.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(900);
+
+impl Node {
+    /// Answers another daemon.
+    pub fn answer_sync(&self, request: SyncRequest) -> SyncReply {
+        self.take_members(&request.own, &request.members);
+        self.heard_from(&request.own.vm, request.load);
+        if let Some(document) = &request.document {
+            self.offer_config(document, "peer");
+        }
+        self.hear_evidence(&request.own, &request.evidence);
+        let document = self.document_newer_than(request.config);
+        let config = self.config_row();
+        let cores = self.cores();
+        let differs = cores.directory.digest() != request.digest;
+        let members =
+            if differs { cores.directory.members().cloned().collect() } else { Vec::new() };
+        let load = cores.load(self.now());
+        SyncReply { own: cores.own.clone(), load, config, document, members }
+    }
+
+    /// Takes a report of load from another daemon.
+    pub fn heard_from(&self, vm: &EndpointId, load: Load) {
+        let regained = self.cores().placement.heard(self.now(), vm, load);
+        if regained {
+            self.events.write(&Event::Peer { vm: vm.as_str(), state: "regained", reason: "" });
+        }
+    }
+
+    /// Exchanges with a daemon that is known to hold something newer.
+    pub fn sync_soon(self: &Arc<Self>, vm: &EndpointId) {
+        let member = self.cores().directory.get(vm).cloned();
+        if let Some(member) = member {
+            let node = Arc::clone(self);
+            task::spawn(async move { node.sync_with(&member).await });
+        }
+    }
+
+    /// Tells all other daemons how this one describes itself now.
+    pub fn broadcast(self: &Arc<Self>) {
+        let members: Vec<Member> = self.others();
+        for member in members {
+            let node = Arc::clone(self);
+            task::spawn(async move { node.sync_with(&member).await });
+        }
+    }
+
+    /// Asks daemons that have said nothing for some time, for ever.
+    pub async fn probe(self: Arc<Self>) {
+        loop {
+            let jitter = rand::rng().random_range(0.7..1.3);
+            task::sleep(LOOK_EVERY.mul_f64(jitter)).await;
+            let now = self.now();
+            let every = self.probe_every();
+            for member in self.others() {
+                let due = self.cores().placement.probe_due(now, &member.vm, every);
+                if due {
+                    let node = Arc::clone(&self);
+                    task::spawn(async move { node.sync_with(&member).await });
+                }
+            }
+        }
+    }
+
+    fn probe_every(&self) -> Duration {
+        let cores = self.cores();
+        let judged = cores.rollouts.values().any(|it| it.state() == RolloutState::Running);
+        let least = if judged { ROLLOUT_EVERY } else { LEAST_EVERY };
+        least.max(Duration::from_secs_f64(cores.directory.len() as f64 / EXCHANGES_PER_S))
+    }
+
+    fn others(&self) -> Vec<Member> {
+        let cores = self.cores();
+        let me = &cores.own.vm;
+        cores.directory.members().filter(|it| it.vm != *me).cloned().collect()
+    }
+
+    async fn sync_with(self: Arc<Self>, member: &Member) {
+        let request = self.sync_request(0, Vec::new());
+        let Some(reply) = self.exchange(member, request).await else { return };
+        if reply.own.vm != member.vm {
+            // Another VM has the address now.
+            self.remove_member(&member.vm);
+        }
+        self.take_members(&reply.own, &reply.members);
+        self.heard_from(&reply.own.vm, reply.load);
+        if let Some(document) = &reply.document {
+            self.offer_config(document, "peer");
+        }
+        let lacks_config = reply.config < self.config_row();
+        let members: Vec<Member> = {
+            let cores = self.cores();
+            let missing = |it: &&Member| !reply.members.contains(it);
+            let differs = !reply.members.is_empty();
+            cores.directory.members().filter(|it| differs && missing(it)).cloned().collect()
+        };
+        if lacks_config || !members.is_empty() {
+            let row = if lacks_config { reply.config } else { u64::MAX };
+            let mut request = self.sync_request(row, members);
+            if !lacks_config {
+                request.document = None;
+            }
+            self.exchange(&reply.own, request).await;
+        }
+    }
+
+    /// Returns a request; `lacking` is the row version below which the receiver's configuration
+    /// is known to be, or 0 when nothing is known.
+    fn sync_request(&self, lacking: u64, members: Vec<Member>) -> SyncRequest {
+        let document = if lacking > 0 { self.document_newer_than(lacking) } else { None };
+        let config = self.config_row();
+        let cores = self.cores();
+        SyncRequest {
+            own: cores.own.clone(),
+            load: cores.load(self.now()),
+            config,
+            digest: cores.directory.digest(),
+            evidence: cores
+                .rollouts
+                .values()
+                .filter(|it| it.state() == RolloutState::Running)
+                .map(|it| it.evidence().clone())
+                .collect(),
+            document,
+            members,
+        }
+    }
+
+    async fn exchange(&self, member: &Member, request: SyncRequest) -> Option<SyncReply> {
+        let answer = self.peers.sync(member.address, encode(&request), EXCHANGE_TIMEOUT).await;
+        let reply = match answer {
+            Ok(frame) => decode(&frame.head),
+            Err(PeerError::Unsent(reason) | PeerError::Cut(reason)) => Err(reason),
+        };
+        match reply {
+            Ok(reply) => Some(reply),
+            Err(reason) => {
+                let was_up = self.cores().placement.lost(self.now(), &member.vm);
+                if was_up {
+                    let (vm, reason) = (member.vm.as_str(), reason.as_str());
+                    self.events.write(&Event::Peer { vm, state: "lost", reason });
+                }
+                None
+            }
+        }
+    }
+
+    fn take_members(&self, own: &Member, members: &[Member]) {
+        self.offer_member(own);
+        members.iter().for_each(|it| self.offer_member(it));
+    }
+
+    fn hear_evidence(&self, own: &Member, evidence: &[Evidence]) {
+        let mut cores = self.cores();
+        for rollout in cores.rollouts.values_mut() {
+            evidence.iter().for_each(|it| rollout.hear(&own.vm, own.incarnation, it));
+        }
+    }
+
+    fn document_newer_than(&self, row: u64) -> Option<Document> {
+        let current = self.current()?;
+        (current.document.row > row).then(|| current.document.clone())
+    }
+}
