Bound the wait for a slot by half of the time to the goal

Cause: a request was let wait until its mean run would end at its goal, so that under steady excess half of all answers were late. Change: half of the spare time, a quarter of the rest for requests that are late already.

--- a/crates/fleet/src/slots.rs
+++ b/crates/fleet/src/slots.rs
@@ -20,7 +20,11 @@
     pub first_cost: Duration,
     /// Weight of one run in the mean run time of a route; the mean follows within some ten runs.
     pub cost_weight: f64,
-    /// Part of its goal for which a request may wait although it misses the goal then.
+    /// Part of the time to its goal, less the run, for which a request may wait. Run times vary,
+    /// so that a request which starts at the last moment of its mean run time is late half of the
+    /// time; a longer queue serves no more requests, but more of them late.
+    pub wait_part: f64,
+    /// Part of its remaining time for which a request that misses its goal may wait.
     pub late_part: f64,
     /// Most waiting requests; a longer queue than this costs more time to keep than it serves.
     pub queued: usize,
@@ -33,7 +37,8 @@
         SlotsSettings {
             first_cost: Duration::from_millis(100),
             cost_weight: 0.05,
-            late_part: 0.5,
+            wait_part: 0.5,
+            late_part: 0.25,
             queued: 256,
             least_retry: Duration::from_millis(50),
         }
@@ -271,9 +276,11 @@
         if arrival.nested {
             return left;
         }
-        let on_time = arrival.goal.since(now).saturating_sub(cost);
-        let late = arrival.goal.since(now).mul_f64(self.settings.late_part);
-        on_time.max(late).min(left)
+        let spare = arrival.goal.since(now).saturating_sub(cost);
+        if spare.is_zero() {
+            return left.mul_f64(self.settings.late_part);
+        }
+        spare.mul_f64(self.settings.wait_part).min(left)
     }
 
     fn run(&mut self, now: Time, arrival: &Arrival) {
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -198,10 +198,9 @@
                 continue;
             }
             let mut connection = kept.connection;
-            match timeout(READY_TIMEOUT, connection.sender.ready()).await {
-                Ok(Ok(())) => return Some(connection),
-                // It was closed, or holds bytes that belong to no request.
-                Ok(Err(_)) | Err(_) => {}
+            // Otherwise it was closed, or holds bytes that belong to no request.
+            if let Ok(Ok(())) = timeout(READY_TIMEOUT, connection.sender.ready()).await {
+                return Some(connection);
             }
         }
     }
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -100,10 +100,11 @@
     loop {
         match signals.next().await {
             Some(SIGHUP) => daemon.reload(path),
-            Some(SIGINT) => return Ok(daemon.stop("SIGINT").await),
-            _ => return Ok(daemon.stop("SIGTERM").await),
+            Some(SIGINT) => break daemon.stop("SIGINT").await,
+            _ => break daemon.stop("SIGTERM").await,
         }
     }
+    Ok(())
 }
 
 impl Daemon<Bound> {
@@ -125,10 +126,8 @@
         let connections = Arc::new(AtomicUsize::new(0));
         let background = vec![
             serve_callers(&node, state.callers, stop, Arc::clone(&connections)),
-            serve_platform(&node, state.ready, |node, request| heartbeats::ready(node, request)),
-            serve_platform(&node, state.heartbeats, |node, request| {
-                heartbeats::handle(node, request)
-            }),
+            serve_platform(&node, state.ready, heartbeats::ready),
+            serve_platform(&node, state.heartbeats, heartbeats::handle),
             serve_metrics(&node, state.metrics),
             serve_fleet(state.peers, Arc::new(Relay(Arc::clone(&node)))),
             task::spawn(publish(Arc::clone(&node))),
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -34,7 +34,7 @@
     }
 
     async fn sync(&self, frame: Frame) -> Result<Frame, String> {
-        let reply = self.0.answer_sync(decode(&frame.head)?);
+        let reply = self.0.answer_sync(&decode(&frame.head)?);
         Ok(Frame { protocol: PROTOCOL, head: encode(&reply).into(), body: Bytes::new() })
     }
 }
--- a/crates/sidecar/src/sync.rs
+++ b/crates/sidecar/src/sync.rs
@@ -28,7 +28,7 @@
 
 impl Node {
     /// Answers another daemon.
-    pub fn answer_sync(&self, request: SyncRequest) -> SyncReply {
+    pub fn answer_sync(&self, request: &SyncRequest) -> SyncReply {
         self.take_members(&request.own, &request.members);
         self.heard_from(&request.own.vm, request.load);
         if let Some(document) = &request.document {
