Reject where no slot can come in time, with urgent work ahead counted

Change: the work of each rank shortens the part of the slots that less urgent ones expect; the caller's daemon rejects at once when fresh loads say that all backend servers are full.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -23,8 +23,12 @@
     /// Part of the goal by which another data centre must be faster to be chosen: bytes between
     /// data centres cost about as much as this part of the requests being late.
     pub remote_part: f64,
-    /// Age at which a reported load counts for nothing.
-    pub load_life: Duration,
+    /// Age at which a reported load counts for nothing, in run times: by then other requests hold
+    /// the slots.
+    pub load_runs: f64,
+    /// Part of the spare time to the goal that a request may be expected to wait; the slots use
+    /// the same one.
+    pub wait_part: f64,
     /// Factor of the run time while a backend server is cold, as the sites state it.
     pub cold_factor: f64,
     /// Part of the slots that is filled before requests leave the data centre.
@@ -49,11 +53,12 @@
             first_cost: Duration::from_millis(100),
             weight: 0.08,
             remote_part: 0.12,
-            load_life: Duration::from_secs(2),
+            load_runs: 4.0,
+            wait_part: 0.5,
             cold_factor: 2.0,
             fill: 0.9,
             searches: 2,
-            sends: 5,
+            sends: 4,
             first_pause: Duration::from_millis(250),
             longest_pause: Duration::from_secs(2),
             least_retry: Duration::from_millis(50),
@@ -227,8 +232,10 @@
         if ask.deadline <= now {
             return self.reject(rng, ErrorKind::DeadlineUnmet, Duration::ZERO);
         }
-        let Some((vm, free)) = self.best(now, rng, ask, attempt) else {
-            return self.reject(rng, ErrorKind::NoEndpoint, Duration::ZERO);
+        let (vm, free) = match self.best(now, rng, ask, attempt) {
+            Best::Send { vm, free } => (vm, free),
+            Best::Full(wait) => return self.reject(rng, ErrorKind::Overloaded, wait),
+            Best::None => return self.reject(rng, ErrorKind::NoEndpoint, Duration::ZERO),
         };
         attempt.sent += 1;
         attempt.tried.push(vm.clone());
@@ -343,18 +350,14 @@
         self.candidates.values().filter(open).filter(move |it| any || fits(it))
     }
 
-    /// Returns the VM with the lowest expected time to the end of the run, and whether it is
-    /// expected to have a free slot.
-    fn best(
-        &self,
-        now: Time,
-        rng: &mut dyn Rng,
-        ask: &Ask,
-        attempt: &Attempt,
-    ) -> Option<(EndpointId, bool)> {
+    /// Returns the VM with the lowest expected time to the end of the run, among those where the
+    /// request is expected to wait for no more than a part of its spare time.
+    fn best(&self, now: Time, rng: &mut dyn Rng, ask: &Ask, attempt: &Attempt) -> Best {
         let cost = self.cost(&ask.route);
         let goal = ask.goal.since(now).as_secs_f64().max(cost);
-        let mut best: Option<(f64, &Candidate)> = None;
+        let patience = self.patience(now, ask, cost);
+        let mut best: Option<(f64, &Candidate, f64)> = None;
+        let mut full: Option<f64> = None;
         let fresh = self.usable(now, ask).any(|it| !attempt.tried.contains(&it.member.vm));
         for it in self.usable(now, ask) {
             // A VM that refused may have room again when all others have refused as well.
@@ -362,17 +365,33 @@
                 continue;
             }
             let run = cost * it.pace(now, &self.settings);
-            let wait = it.wait(now, &self.settings) * run;
+            let wait = it.wait(now, run, &self.settings) * run;
+            if wait > patience {
+                full = Some(full.map_or(wait, |other| other.min(wait)));
+                continue;
+            }
             let remote = it.member.zone != self.here;
             let away = if remote { goal * self.settings.remote_part } else { 0.0 };
             let unproven = if it.reach == Reach::Up { 0.0 } else { goal };
             let tie = 1.0 + rng.random::<f64>() * 0.05;
             let score = ((run + wait) * (1.0 + 4.0 * it.faults) + away + unproven) * tie;
-            if best.is_none_or(|(other, _)| score < other) {
-                best = Some((score, it));
+            if best.is_none_or(|(other, _, _)| score < other) {
+                best = Some((score, it, wait));
             }
         }
-        best.map(|(_, it)| (it.member.vm.clone(), it.wait(now, &self.settings) <= 0.0))
+        match (best, full) {
+            (Some((_, it, wait)), _) => Best::Send { vm: it.member.vm.clone(), free: wait <= 0.0 },
+            (None, Some(wait)) => Best::Full(Duration::from_secs_f64(wait - patience)),
+            (None, None) => Best::None,
+        }
+    }
+
+    /// Returns the longest expected wait with which a request is still sent, in seconds.
+    fn patience(&self, now: Time, ask: &Ask, cost: f64) -> f64 {
+        let spare = ask.goal.since(now).as_secs_f64() - cost;
+        let left = ask.deadline.since(now).as_secs_f64() - cost;
+        // A late request takes free slots only.
+        (spare * self.settings.wait_part).max(cost / 2.0).min(left.max(0.0))
     }
 
     fn cost(&self, route: &str) -> f64 {
@@ -438,9 +457,9 @@
         self.speed * cold * stalled
     }
 
-    /// Returns the expected wait for a slot, in run times.
-    fn wait(&self, now: Time, settings: &PlacementSettings) -> f64 {
-        let age = now.since(self.heard).as_secs_f64() / settings.load_life.as_secs_f64();
+    /// Returns the expected wait for a slot, in run times of `run` seconds.
+    fn wait(&self, now: Time, run: f64, settings: &PlacementSettings) -> f64 {
+        let age = now.since(self.heard).as_secs_f64() / (run * settings.load_runs).max(0.001);
         let reported = f64::from(self.load.running + self.load.queued) * (1.0 - age).max(0.0);
         let busy = (reported + f64::from(self.since)).max(f64::from(self.pending));
         let limit = f64::from(self.load.limit.max(1));
@@ -451,6 +470,16 @@
     }
 }
 
+/// Result of comparing all candidates.
+enum Best {
+    /// This VM; `free` states whether a free slot is expected.
+    Send { vm: EndpointId, free: bool },
+    /// All are busy; a slot is expected in time after this wait.
+    Full(Duration),
+    /// There is no candidate.
+    None,
+}
+
 fn fresh_load(server: &Server) -> Load {
     Load { limit: server.slots, ..Load::default() }
 }
--- a/crates/fleet/src/slots.rs
+++ b/crates/fleet/src/slots.rs
@@ -26,6 +26,10 @@
     pub wait_part: f64,
     /// Part of its remaining time for which a request that misses its goal may wait.
     pub late_part: f64,
+    /// Part of its time for which a late request is held before it is rejected.
+    pub held_part: f64,
+    /// Time over which the work of each rank is averaged; a few queues drain in it.
+    pub work_window: Duration,
     /// Most waiting requests; a longer queue than this costs more time to keep than it serves.
     pub queued: usize,
     /// Shortest time after which a rejected caller is told to come back: a few runs end in it.
@@ -39,6 +43,8 @@
             cost_weight: 0.05,
             wait_part: 0.5,
             late_part: 0.25,
+            held_part: 0.4,
+            work_window: Duration::from_millis(500),
             queued: 256,
             least_retry: Duration::from_millis(50),
         }
@@ -105,9 +111,35 @@
 #[derive(Debug)]
 struct Waiting {
     arrival: Arrival,
+    arrived: Time,
     cost: Duration,
 }
 
+/// Work that started, averaged over a window.
+#[derive(Debug, Clone, Copy, Default)]
+struct Work {
+    seconds: f64,
+    updated: Time,
+}
+
+impl Work {
+    fn at(&self, now: Time, window: Duration) -> f64 {
+        self.seconds * (-now.since(self.updated).as_secs_f64() / window.as_secs_f64()).exp()
+    }
+
+    fn add(&mut self, now: Time, window: Duration, cost: Duration) {
+        self.seconds = self.at(now, window) + cost.as_secs_f64();
+        self.updated = now;
+    }
+}
+
+/// Ranks that are told apart: nested requests and the priorities from 0; less urgent ones share
+/// the last.
+const RANKS: usize = 8;
+/// Part of the slots that the least urgent requests are assumed to get at least, so that the
+/// expected wait stays finite.
+const LEAST_PART: f64 = 0.05;
+
 #[derive(Debug)]
 struct Running {
     route: Arc<str>,
@@ -123,6 +155,7 @@
     running: HashMap<TaskId, Running>,
     /// In the order in which they run.
     queue: Vec<Waiting>,
+    work: [Work; RANKS],
     /// Mean run time of each route in microseconds.
     costs: HashMap<Arc<str>, f64>,
 }
@@ -135,6 +168,7 @@
             limit: 0,
             running: HashMap::new(),
             queue: Vec::new(),
+            work: [Work::default(); RANKS],
             costs: HashMap::new(),
         }
     }
@@ -166,13 +200,13 @@
         }
         let cost = self.cost(&arrival.route);
         let place = self.place(now, &arrival, cost);
-        let wait = self.wait(now, place);
+        let wait = self.wait(now, place, &arrival);
         let patience = self.patience(now, &arrival, cost);
         if !arrival.may_wait || wait > patience || self.queue.len() >= self.settings.queued {
             let retry_after = wait.saturating_sub(patience).max(self.settings.least_retry);
             return Verdict::Reject { kind: ErrorKind::Overloaded, retry_after };
         }
-        self.queue.insert(place, Waiting { arrival, cost });
+        self.queue.insert(place, Waiting { arrival, arrived: now, cost });
         Verdict::Wait
     }
 
@@ -203,9 +237,10 @@
         let mut wakes = SmallVec::new();
         let mut place = 0;
         while place < self.queue.len() {
-            let wait = self.wait(now, place);
             let waiting = &self.queue[place];
-            if now + wait + waiting.cost / 2 > waiting.arrival.deadline {
+            let wait = self.wait(now, place, &waiting.arrival);
+            let hopeless = now + wait + waiting.cost / 2 > waiting.arrival.deadline;
+            if hopeless || self.held_long(now, waiting) {
                 let retry_after = wait.max(self.settings.least_retry);
                 wakes.push(Wake::Reject(waiting.arrival.task, retry_after));
                 self.queue.remove(place);
@@ -226,6 +261,13 @@
         }
     }
 
+    /// Returns whether a request that misses its goal has been held for too much of its time.
+    fn held_long(&self, now: Time, waiting: &Waiting) -> bool {
+        let time = waiting.arrival.deadline.since(waiting.arrived);
+        let late = now + waiting.cost > waiting.arrival.goal;
+        late && now.since(waiting.arrived) > time.mul_f64(self.settings.held_part)
+    }
+
     fn running(&self) -> u32 {
         self.running.len() as u32
     }
@@ -246,9 +288,22 @@
 
     /// Returns the rank in the queue: requests that others wait for, then by priority, then those
     /// that can still meet their goal.
-    fn rank(now: Time, arrival: &Arrival, cost: Duration) -> (u8, bool, Time) {
-        let priority = if arrival.nested { 0 } else { arrival.priority.saturating_add(1) };
-        (priority, now + cost > arrival.goal, arrival.goal)
+    fn rank(now: Time, arrival: &Arrival, cost: Duration) -> (usize, bool, Time) {
+        (Slots::urgency(arrival), now + cost > arrival.goal, arrival.goal)
+    }
+
+    fn urgency(arrival: &Arrival) -> usize {
+        let rank = if arrival.nested { 0 } else { usize::from(arrival.priority) + 1 };
+        rank.min(RANKS - 1)
+    }
+
+    /// Returns the part of the slots that more urgent requests leave.
+    fn left_part(&self, now: Time, arrival: &Arrival) -> f64 {
+        let window = self.settings.work_window;
+        let urgent = &self.work[..Slots::urgency(arrival)];
+        let work: f64 = urgent.iter().map(|it| it.at(now, window)).sum();
+        let slots = f64::from(self.limit.max(1)) * window.as_secs_f64();
+        (1.0 - work / slots).max(LEAST_PART)
     }
 
     fn place(&self, now: Time, arrival: &Arrival, cost: Duration) -> usize {
@@ -256,8 +311,9 @@
         self.queue.partition_point(|it| Slots::rank(now, &it.arrival, it.cost) <= rank)
     }
 
-    /// Returns the time until the request at a place of the queue starts.
-    fn wait(&self, now: Time, place: usize) -> Duration {
+    /// Returns the time until the request at a place of the queue starts, with the more urgent
+    /// ones that are expected to arrive before.
+    fn wait(&self, now: Time, place: usize, arrival: &Arrival) -> Duration {
         let limit = self.limit.max(1);
         // A slot gets free when one of the running requests ends; they are half done on average.
         let residual: Duration = self
@@ -267,7 +323,7 @@
             .sum::<Duration>()
             / (limit * limit);
         let before: Duration = self.queue[..place].iter().map(|it| it.cost).sum();
-        residual + before / limit
+        (residual + before / limit).div_f64(self.left_part(now, arrival))
     }
 
     /// Returns how long a request may wait.
@@ -285,6 +341,7 @@
 
     fn run(&mut self, now: Time, arrival: &Arrival) {
         let cost = self.cost(&arrival.route);
+        self.work[Slots::urgency(arrival)].add(now, self.settings.work_window, cost);
         let run = Running { route: Arc::clone(&arrival.route), started: now, cost };
         self.running.insert(arrival.task, run);
     }
