--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -24,8 +24,8 @@
 #[derive(Debug, Default, Clone, Copy)]
 struct Part {
     number: u64,
-    requests: u32,
-    repeats: u32,
+    requests: f64,
+    repeats: f64,
 }
 
 /// Counts of requests and repeats for each service.
@@ -43,7 +43,13 @@
 
     /// Counts a request of a caller.
     pub fn request(&mut self, now: Time, service: &ServiceName) {
-        self.part(now, service).requests += 1;
+        self.part(now, service).requests += 1.0;
+    }
+
+    /// Counts a call that a running request makes and that is a repeat with the probability
+    /// `share`, because a request that runs again makes its calls again.
+    pub fn nested(&mut self, now: Time, service: &ServiceName, share: f64) {
+        self.part(now, service).repeats += share;
     }
 
     /// Counts a repeat if the budget has room for it among `daemons` daemons.
@@ -52,12 +58,13 @@
         let BudgetSettings { ratio, extra, used, .. } = self.settings;
         let Some(parts) = self.services.get(service) else { return false };
         let recent = parts.iter().filter(|it| it.number + PARTS as u64 > number);
-        let (requests, repeats) = recent
-            .fold((0, 0), |(requests, repeats), it| (requests + it.requests, repeats + it.repeats));
-        let allowed = used * (ratio * f64::from(requests) + extra / daemons.max(1) as f64);
-        let fits = f64::from(repeats + 1) <= allowed;
+        let (requests, repeats) = recent.fold((0.0, 0.0), |(requests, repeats), it| {
+            (requests + it.requests, repeats + it.repeats)
+        });
+        let allowed = used * (ratio * requests + extra / daemons.max(1) as f64);
+        let fits = repeats + 1.0 <= allowed;
         if fits {
-            self.part(now, service).repeats += 1;
+            self.part(now, service).repeats += 1.0;
         }
         fits
     }
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -221,6 +221,12 @@
         self.budget.request(now, service);
     }
 
+    /// Counts a call that a running request makes; `share` is the probability that the running
+    /// request is a repeat.
+    pub fn count_nested(&mut self, now: Time, service: &ServiceName, share: f64) {
+        self.budget.nested(now, service, share);
+    }
+
     /// Chooses where a request goes next, and counts it there.
     pub fn choose(
         &mut self,
--- a/crates/fleet/src/slots.rs
+++ b/crates/fleet/src/slots.rs
@@ -62,6 +62,8 @@
     pub priority: u8,
     /// Whether a running request waits for this one.
     pub nested: bool,
+    /// Whether it was sent to another backend server before.
+    pub repeat: bool,
     /// Time by which the response is of full use.
     pub goal: Time,
     /// Time by which the response is of any use.
@@ -145,6 +147,7 @@
     route: Arc<str>,
     started: Time,
     cost: Duration,
+    repeat: bool,
 }
 
 /// Slots of one backend server.
@@ -261,6 +264,12 @@
         }
     }
 
+    /// Returns the share of repeats among the running requests.
+    pub fn repeats(&self) -> f64 {
+        let repeats = self.running.values().filter(|it| it.repeat).count();
+        repeats as f64 / self.running.len().max(1) as f64
+    }
+
     /// Returns whether a request that misses its goal has been held for too much of its time.
     fn held_long(&self, now: Time, waiting: &Waiting) -> bool {
         let time = waiting.arrival.deadline.since(waiting.arrived);
@@ -342,7 +351,8 @@
     fn run(&mut self, now: Time, arrival: &Arrival) {
         let cost = self.cost(&arrival.route);
         self.work[Slots::urgency(arrival)].add(now, self.settings.work_window, cost);
-        let run = Running { route: Arc::clone(&arrival.route), started: now, cost };
+        let (route, repeat) = (Arc::clone(&arrival.route), arrival.repeat);
+        let run = Running { route, started: now, cost, repeat };
         self.running.insert(arrival.task, run);
     }
 
--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -179,7 +179,14 @@
         idempotent: route.idempotent,
         attempts: route.attempts,
     };
-    node.cores().placement.count_request(began, &service);
+    {
+        let mut cores = node.cores();
+        cores.placement.count_request(began, &service);
+        if nested {
+            let share = cores.slots.repeats();
+            cores.placement.count_nested(began, &service, share);
+        }
+    }
     Ok(Call {
         id,
         service,
@@ -236,7 +243,9 @@
             }
         };
         guard.at = Some(vm.clone());
-        let (outcome, answer, reason) = send(node, call, &vm, address, server, may_wait).await;
+        let repeat = attempt.arrivals > 0;
+        let (outcome, answer, reason) =
+            send(node, call, &vm, address, server, may_wait, repeat).await;
         guard.at = None;
         let ended = node.now();
         if !matches!(outcome, Outcome::Answered { .. }) {
@@ -284,6 +293,7 @@
     address: std::net::SocketAddr,
     server: EndpointId,
     may_wait: bool,
+    repeat: bool,
 ) -> (Outcome, Option<Answered>, String) {
     let now = node.now();
     let left = call.ask.deadline.since(now);
@@ -295,6 +305,7 @@
         route: Arc::clone(&call.route.name),
         priority: call.route.priority,
         nested: call.nested,
+        repeat,
         idempotent: call.route.idempotent,
         goal: call.ask.goal.since(now),
         left,
--- a/crates/sidecar/src/message.rs
+++ b/crates/sidecar/src/message.rs
@@ -23,6 +23,8 @@
     pub priority: u8,
     /// Whether a running request waits for this one.
     pub nested: bool,
+    /// Whether it was sent to another backend server before.
+    pub repeat: bool,
     /// Whether it may run more than once.
     pub idempotent: bool,
     /// Time left in which the response is of full use.
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -155,6 +155,7 @@
             route: Arc::clone(&request.route),
             priority: request.priority,
             nested: request.nested,
+            repeat: request.repeat,
             goal: now + request.goal,
             deadline: now + request.left,
             may_wait: request.may_wait,
