Weigh the size of a route's messages in the choice of data centre

Cause: between data centres a shelf count of 5 kB was as welcome as a lookup of 0.4 kB. Change: the advantage in time that another data centre needs grows with the mean size of the route's messages.

--- a/crates/fleet/src/attempt.rs
+++ b/crates/fleet/src/attempt.rs
@@ -75,6 +75,8 @@
         status: u16,
         /// Time that it ran.
         run: Duration,
+        /// Bytes of the bodies of request and response.
+        bytes: usize,
     },
     /// The backend server stated that it did not run the request.
     Shed,
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -20,9 +20,13 @@
     pub first_cost: Duration,
     /// Weight of one run in the means; they follow within some ten runs.
     pub weight: f64,
-    /// Part of the goal by which another data centre must be faster to be chosen: bytes between
-    /// data centres cost about as much as this part of the requests being late.
+    /// Part of the goal by which another data centre must be faster to be chosen.
     pub remote_part: f64,
+    /// The same for each kilobyte of a route's requests and responses, which cost between data
+    /// centres.
+    pub remote_per_kb: f64,
+    /// Largest part of the goal by which another data centre must be faster.
+    pub most_remote: f64,
     /// Age at which a reported load counts for nothing, in run times: by then other requests hold
     /// the slots.
     pub load_runs: f64,
@@ -52,7 +56,9 @@
         PlacementSettings {
             first_cost: Duration::from_millis(100),
             weight: 0.08,
-            remote_part: 0.12,
+            remote_part: 0.06,
+            remote_per_kb: 0.05,
+            most_remote: 0.4,
             load_runs: 4.0,
             wait_part: 0.5,
             cold_factor: 2.0,
@@ -105,6 +111,8 @@
     candidates: BTreeMap<EndpointId, Candidate>,
     /// Mean run time of each route in seconds.
     costs: HashMap<Arc<str>, f64>,
+    /// Mean size of the requests and responses of each route in kilobytes.
+    sizes: HashMap<Arc<str>, f64>,
     budget: Budget,
     daemons: usize,
 }
@@ -123,6 +131,7 @@
             here,
             candidates: BTreeMap::new(),
             costs: HashMap::new(),
+            sizes: HashMap::new(),
             budget,
             daemons: 1,
         }
@@ -362,6 +371,9 @@
         let cost = self.cost(&ask.route);
         let goal = ask.goal.since(now).as_secs_f64().max(cost);
         let patience = self.patience(now, ask, cost);
+        let size = self.sizes.get(&ask.route).copied().unwrap_or(0.0);
+        let part = self.settings.remote_part + self.settings.remote_per_kb * size;
+        let remote_cost = goal * part.min(self.settings.most_remote);
         let mut best: Option<(f64, &Candidate, f64)> = None;
         let mut full: Option<f64> = None;
         let fresh = self.usable(now, ask).any(|it| !attempt.tried.contains(&it.member.vm));
@@ -377,7 +389,7 @@
                 continue;
             }
             let remote = it.member.zone != self.here;
-            let away = if remote { goal * self.settings.remote_part } else { 0.0 };
+            let away = if remote { remote_cost } else { 0.0 };
             let unproven = if it.reach == Reach::Up { 0.0 } else { goal };
             let tie = 1.0 + rng.random::<f64>() * 0.05;
             let score = ((run + wait) * (1.0 + 4.0 * it.faults) + away + unproven) * tie;
@@ -406,9 +418,12 @@
 
     fn learn(&mut self, now: Time, ask: &Ask, vm: &EndpointId, outcome: Outcome) {
         let weight = self.settings.weight;
-        if let Outcome::Answered { status, run } = outcome
+        if let Outcome::Answered { status, run, bytes } = outcome
             && status < 500
         {
+            let size = bytes as f64 / 1_024.0;
+            let mean = self.sizes.entry(Arc::clone(&ask.route)).or_insert(size);
+            *mean += (size - *mean) * weight;
             let cost = self.cost(&ask.route);
             let run = run.as_secs_f64();
             let mean = self.costs.entry(Arc::clone(&ask.route)).or_insert(run);
--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -258,7 +258,7 @@
             });
         }
         let mut cores = node.cores();
-        if let Outcome::Answered { status, run } = outcome {
+        if let Outcome::Answered { status, run, .. } = outcome {
             count(&mut cores, call, &vm, status, run);
         }
         let next = cores.placement.ended(ended, &mut rand::rng(), &call.ask, attempt, &vm, outcome);
@@ -318,7 +318,7 @@
         let (end, body) = relay::run(node, request, call.body.clone()).await;
         let load = node.load();
         node.cores().placement.heard(node.now(), vm, load);
-        return outcome(end, body);
+        return outcome(end, call.body.len(), body);
     }
     let exchange = node.peers.run(address, encode(&request), call.body.clone());
     let within = left + ANSWER_SLACK;
@@ -337,18 +337,18 @@
             if reply.config > node.config_row() {
                 node.sync_soon(vm);
             }
-            outcome(reply.end, frame.body)
+            outcome(reply.end, call.body.len(), frame.body)
         }
         Err(reason) => (Outcome::Cut, None, reason),
     }
 }
 
-fn outcome(end: End, body: Bytes) -> (Outcome, Option<Answered>, String) {
+fn outcome(end: End, sent: usize, body: Bytes) -> (Outcome, Option<Answered>, String) {
     match end {
         End::Answered { status, headers, run } => match relay::from_wire(&headers) {
             Ok(headers) => {
-                let answer = Answered { status, headers, body };
-                (Outcome::Answered { status, run }, Some(answer), format!("status {status}"))
+                let outcome = Outcome::Answered { status, run, bytes: sent + body.len() };
+                (outcome, Some(Answered { status, headers, body }), format!("status {status}"))
             }
             Err(reason) => (Outcome::Broken, None, reason),
         },
