Remember the leave of a backend server that was not heard of before

Ruled out: a lost leave (it was acknowledged), a later incarnation (same start). Change: such a leave is kept with its incarnation. Test: server_that_left_before_its_first_heartbeat.

--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -138,6 +138,13 @@
 /// Share of the new version when the rise begins; small enough that a version that fails under
 /// load only shows itself to few.
 const RISE_FROM: f64 = 0.15;
+/// Share of bad answers of the old version above which both versions may have one fault.
+const SHARED_SHARE: f64 = 0.06;
+/// Answers of the old version below which its share of bad ones is not known well.
+const LEAST_COMPARED: u32 = 60;
+/// Evidence needed then, as the logarithm of a likelihood ratio; it is reached by chance in one of
+/// a thousand moves.
+const SURE: f64 = 7.0;
 /// Weight of one answer of the old version in the usual run time of a route.
 const USUAL_WEIGHT: f64 = 0.05;
 
@@ -292,8 +299,20 @@
         let share = |it: &Counts| f64::from(it.bad) / f64::from(it.all.max(1));
         // One more bad answer of the old version than seen, since it has few as well at first.
         let old_share = f64::from(old.bad + 1) / f64::from(old.all + 10);
-        new.bad >= self.settings.least_bad
+        let stands_out = new.bad >= self.settings.least_bad
             && share(new) >= self.settings.bad_share
-            && share(new) >= old_share * self.settings.excess
+            && share(new) >= old_share * self.settings.excess;
+        let compared = old.all >= LEAST_COMPARED && old_share < SHARED_SHARE;
+        let same = old_share.max(SHARED_SHARE);
+        stands_out && (compared || self.evidence_against(new, same) >= SURE)
+    }
+
+    /// Returns the logarithm of the likelihood ratio of the new version's counts: several times
+    /// the old version's share of bad answers against the same share.
+    fn evidence_against(&self, new: &Counts, old_share: f64) -> f64 {
+        let same = old_share.min(0.9);
+        let worse = (same * self.settings.excess).min(0.95);
+        let (bad, good) = (f64::from(new.bad), f64::from(new.all - new.bad));
+        bad * (worse / same).ln() + good * ((1.0 - worse) / (1.0 - same)).ln()
     }
 }
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -70,6 +70,9 @@
 #[derive(Debug, Default)]
 pub struct LocalServer {
     known: Option<Known>,
+    /// Server whose leave was acknowledged although it had sent no heartbeat, with the start of
+    /// that incarnation once it is known.
+    unheard: Option<(EndpointId, Option<u64>)>,
 }
 
 #[derive(Debug)]
@@ -85,6 +88,13 @@
 impl LocalServer {
     /// Takes a heartbeat.
     pub fn heartbeat(&mut self, now: Time, beat: &Heartbeat) -> Accepted {
+        if let Some((id, born)) = &mut self.unheard
+            && *id == beat.id
+            // Without a stated start, the first incarnation that is heard of is the one that left.
+            && beat.born <= *born.get_or_insert(beat.born)
+        {
+            return Accepted::Stale;
+        }
         if let Some(known) = &mut self.known {
             let same = known.server.id == beat.id;
             if beat.born < known.born || (same && beat.born == known.born && known.left()) {
@@ -108,19 +118,22 @@
         Accepted::Changed
     }
 
-    /// Takes the notice that the backend server `id` leaves without a drain before.
-    pub fn leave(&mut self, now: Time, id: &EndpointId) -> Accepted {
-        match &mut self.known {
-            Some(known) if known.server.id == *id => {
-                known.drained.get_or_insert(now);
-                if known.server.state == ServerState::Gone {
-                    return Accepted::Same;
-                }
-                known.server.state = ServerState::Gone;
-                Accepted::Changed
-            }
-            _ => Accepted::Stale,
+    /// Takes the notice that the backend server `id`, which started at `born` if that is stated,
+    /// leaves without a drain before.
+    pub fn leave(&mut self, now: Time, id: &EndpointId, born: Option<u64>) -> Accepted {
+        let Some(known) = self.known.as_mut().filter(|it| it.server.id == *id) else {
+            self.unheard = Some((id.clone(), born));
+            return Accepted::Stale;
+        };
+        if born.is_some_and(|it| it < known.born) {
+            return Accepted::Stale;
         }
+        known.drained.get_or_insert(now);
+        if known.left() {
+            return Accepted::Same;
+        }
+        known.server.state = ServerState::Gone;
+        Accepted::Changed
     }
 
     /// Returns the backend server if it has said anything.
--- /dev/null
+++ b/crates/fleet/tests/suite/directory.rs
@@ -0,0 +1,50 @@
+//! Descriptions of members that arrive in any order.
+
+use proptest::prelude::*;
+use shallottack_fleet::{Directory, Member, Merge};
+
+use crate::fixture::{id, member};
+
+/// Guards against an older description that replaces a newer one.
+#[test]
+fn older_descriptions_change_nothing() {
+    let mut directory = Directory::default();
+    assert_eq!(directory.merge(&member("vm-1", "a", 2)), Merge::New);
+    assert_eq!(directory.merge(&member("vm-1", "a", 1)), Merge::Known);
+    let restarted = Member { incarnation: 2, ..member("vm-1", "a", 1) };
+    assert_eq!(directory.merge(&restarted), Merge::Newer);
+    assert_eq!(directory.merge(&member("vm-1", "a", 9)), Merge::Known);
+}
+
+/// Guards against a removed member that a peer's old list brings back.
+#[test]
+fn removed_member_returns_only_with_a_newer_description() {
+    let mut directory = Directory::default();
+    directory.merge(&member("vm-1", "a", 2));
+    directory.remove(&id("vm-1"));
+    assert_eq!(directory.merge(&member("vm-1", "a", 2)), Merge::Known);
+    assert_eq!(directory.merge(&member("vm-1", "a", 3)), Merge::New);
+}
+
+proptest! {
+    /// Guards against daemons that hear the same in another order and differ for ever.
+    #[test]
+    fn order_of_descriptions_does_not_matter(
+        order in proptest::collection::vec((0u8..4, 0u64..3, 0u64..4), 1..30),
+        seed in any::<u64>(),
+    ) {
+        let describe = |&(vm, incarnation, sequence): &(u8, u64, u64)| Member {
+            incarnation,
+            ..member(&format!("vm-{vm}"), "a", sequence)
+        };
+        let mut shuffled = order.clone();
+        let rotate = seed as usize % shuffled.len();
+        shuffled.rotate_left(rotate);
+        shuffled.reverse();
+        let (mut one, mut two) = (Directory::default(), Directory::default());
+        order.iter().for_each(|it| { one.merge(&describe(it)); });
+        shuffled.iter().for_each(|it| { two.merge(&describe(it)); });
+        prop_assert_eq!(one.digest(), two.digest());
+        prop_assert!(one.members().eq(two.members()));
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/suite/fixture.rs
@@ -0,0 +1,91 @@
+//! Values that several suites use.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use shallottack_fleet::{Arrival, Ask, Heartbeat, Member, Server, ServerState, Split, TaskId};
+use shallottack_kernel::{DataCentre, EndpointId, GroupName, ServiceName, Time};
+
+pub fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+pub fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub fn rng(seed: u64) -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(seed)
+}
+
+pub fn id(text: &str) -> EndpointId {
+    EndpointId::new(text).unwrap()
+}
+
+pub fn service(text: &str) -> ServiceName {
+    ServiceName::new(text).unwrap()
+}
+
+pub fn group(text: &str) -> GroupName {
+    GroupName::new(text).unwrap()
+}
+
+pub fn beat(server: &str, born: u64, sequence: u64, state: ServerState) -> Heartbeat {
+    Heartbeat {
+        id: id(server),
+        service: service("stock"),
+        group: group("v1"),
+        slots: 4,
+        state,
+        cold: Duration::ZERO,
+        born,
+        sequence,
+    }
+}
+
+/// Member with a ready backend server `i-<vm>` of the service `stock`.
+pub fn member(vm: &str, zone: &str, sequence: u64) -> Member {
+    let server = Server {
+        id: id(&format!("i-{vm}")),
+        service: service("stock"),
+        group: group("v1"),
+        slots: 4,
+        state: ServerState::Ready,
+        cold: Duration::ZERO,
+    };
+    Member {
+        vm: id(vm),
+        incarnation: 1,
+        sequence,
+        address: SocketAddr::from(([127, 0, 0, 1], 9000)),
+        zone: DataCentre::new(zone).unwrap(),
+        stopping: false,
+        server: Some(server),
+    }
+}
+
+pub fn ask(now: Time) -> Ask {
+    Ask {
+        service: service("stock"),
+        split: Split::Any,
+        route: Arc::from("count"),
+        goal: now + ms(400),
+        deadline: now + ms(1_000),
+        idempotent: true,
+        attempts: 2,
+    }
+}
+
+pub fn arrival(task: u64, priority: u8, now: Time, goal: u64, deadline: u64) -> Arrival {
+    Arrival {
+        task: TaskId(task),
+        route: Arc::from(format!("route-{priority}")),
+        priority,
+        nested: false,
+        repeat: false,
+        goal: now + ms(goal),
+        deadline: now + ms(deadline),
+        may_wait: true,
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/suite/main.rs
@@ -0,0 +1,11 @@
+//! Decisions of a daemon in a fleet.
+
+mod budget;
+mod configuration;
+mod directory;
+mod fixture;
+mod placement;
+mod rollout;
+mod server;
+mod slots;
+mod slots_load;
--- /dev/null
+++ b/crates/fleet/tests/suite/placement.rs
@@ -0,0 +1,163 @@
+//! Choice of backend servers under uneven load, refusals and lost daemons.
+
+use shallottack_fleet::{
+    Ask, Attempt, Budget, BudgetSettings, Choice, Load, Next, Outcome, Placement, PlacementSettings,
+};
+use shallottack_kernel::{DataCentre, ErrorKind};
+
+use crate::fixture::{ask, at, id, member, ms, rng};
+
+fn placement(vms: &[(&str, &str)]) -> Placement {
+    let budget =
+        Budget::new(BudgetSettings { ratio: 0.2, extra: 60.0, window: ms(10_000), used: 1.0 });
+    let here = DataCentre::new("a").unwrap();
+    let mut placement = Placement::new(PlacementSettings::default(), id("me"), here, budget);
+    for (vm, zone) in vms {
+        placement.set_member(at(0), &member(vm, zone, 1));
+        placement.heard(at(0), &id(vm), load(0, 0));
+    }
+    placement.count_request(at(0), &ask(at(0)).service);
+    placement
+}
+
+fn load(running: u32, queued: u32) -> Load {
+    Load { running, queued, limit: 4, pace: 0 }
+}
+
+fn chosen(choice: &Choice) -> &str {
+    match choice {
+        Choice::Send { vm, .. } => vm.as_str(),
+        Choice::Reject { .. } => "-",
+    }
+}
+
+fn choose(placement: &mut Placement, ask: &Ask, attempt: &mut Attempt) -> Choice {
+    placement.choose(at(1), &mut rng(1), ask, attempt)
+}
+
+/// Guards against bytes between data centres while the own one has free slots.
+#[test]
+fn own_data_centre_is_preferred() {
+    let mut placement = placement(&[("b1", "b"), ("a1", "a"), ("b2", "b")]);
+    let choice = choose(&mut placement, &ask(at(0)), &mut Attempt::default());
+    assert_eq!(chosen(&choice), "a1");
+}
+
+/// Guards against a queue at one data centre while another one has free slots.
+#[test]
+fn busy_data_centre_is_left() {
+    let mut placement = placement(&[("a1", "a"), ("b1", "b")]);
+    placement.heard(at(1), &id("a1"), load(4, 4));
+    let choice = choose(&mut placement, &ask(at(0)), &mut Attempt::default());
+    assert_eq!(chosen(&choice), "b1");
+}
+
+/// Guards against requests that are sent around although every backend server is known to be full.
+#[test]
+fn request_is_rejected_at_once_when_all_are_full() {
+    let mut placement = placement(&[("a1", "a"), ("b1", "b")]);
+    placement.heard(at(1), &id("a1"), load(4, 40));
+    placement.heard(at(1), &id("b1"), load(4, 40));
+    let choice = choose(&mut placement, &ask(at(0)), &mut Attempt::default());
+    let Choice::Reject { kind, retry_after } = choice else { panic!("{choice:?}") };
+    assert_eq!(kind, ErrorKind::Overloaded);
+    assert!(retry_after >= ms(50) && retry_after <= ms(1_000), "{retry_after:?}");
+}
+
+/// Guards against a full report that keeps a backend server out for ever.
+#[test]
+fn old_report_counts_for_nothing() {
+    let mut placement = placement(&[("a1", "a")]);
+    placement.heard(at(0), &id("a1"), load(4, 40));
+    let mut attempt = Attempt::default();
+    let late = at(600);
+    let choice = placement.choose(late, &mut rng(1), &ask(late), &mut attempt);
+    assert_eq!(chosen(&choice), "a1");
+}
+
+/// Guards against a second run of a request that must run at most once, whatever happened to it.
+#[test]
+fn unsafe_request_is_never_sent_after_it_may_have_run() {
+    for outcome in [Outcome::Cut, Outcome::Broken, Outcome::TimedOut { ran: true }] {
+        let mut placement = placement(&[("a1", "a"), ("a2", "a")]);
+        let ask = Ask { idempotent: false, ..ask(at(0)) };
+        let mut attempt = Attempt::default();
+        let choice = choose(&mut placement, &ask, &mut attempt);
+        let vm = id(chosen(&choice));
+        let next = placement.ended(at(2), &mut rng(1), &ask, &mut attempt, &vm, outcome);
+        let Next::Fail { kind, .. } = next else { panic!("{outcome:?}: {next:?}") };
+        // 429 and 503 state that the request did not run.
+        assert!(!matches!(kind.answer().status, 429 | 503), "{outcome:?}: {kind}");
+    }
+}
+
+/// Guards against a refusal that says not run after an earlier backend server may have run it.
+#[test]
+fn refusal_after_a_run_does_not_say_not_run() {
+    let mut placement = placement(&[("a1", "a"), ("a2", "a")]);
+    let ask = ask(at(0));
+    let mut attempt = Attempt::default();
+    let first = id(chosen(&choose(&mut placement, &ask, &mut attempt)));
+    let next = placement.ended(at(2), &mut rng(1), &ask, &mut attempt, &first, Outcome::Broken);
+    assert_eq!(next, Next::Again);
+    let second = id(chosen(&choose(&mut placement, &ask, &mut attempt)));
+    assert_ne!(first, second);
+    let refused = Outcome::Refused { kind: ErrorKind::Overloaded, retry_after: ms(10) };
+    let late = at(2_000);
+    let next = placement.ended(late, &mut rng(1), &ask, &mut attempt, &second, refused);
+    let Next::Fail { kind, .. } = next else { panic!("{next:?}") };
+    assert_eq!(kind, ErrorKind::OutcomeUnknown);
+}
+
+/// Guards against more backend servers for one request than its route allows.
+#[test]
+fn attempts_of_the_route_are_kept() {
+    let mut placement = placement(&[("a1", "a"), ("a2", "a"), ("a3", "a"), ("a4", "a")]);
+    let ask = ask(at(0));
+    let mut attempt = Attempt::default();
+    let mut sends = 0;
+    loop {
+        let choice = choose(&mut placement, &ask, &mut attempt);
+        let vm = id(chosen(&choice));
+        sends += 1;
+        let next = placement.ended(at(2), &mut rng(1), &ask, &mut attempt, &vm, Outcome::Shed);
+        if next != Next::Again {
+            break;
+        }
+    }
+    assert_eq!(sends, ask.attempts);
+}
+
+/// Guards against requests that wait on a VM that does not answer.
+#[test]
+fn lost_daemon_is_left_out_until_it_answers() {
+    let mut placement = placement(&[("a1", "a"), ("b1", "b")]);
+    assert!(placement.lost(at(1), &id("a1")));
+    let choice = choose(&mut placement, &ask(at(0)), &mut Attempt::default());
+    assert_eq!(chosen(&choice), "b1");
+    assert!(placement.heard(at(1), &id("a1"), load(0, 0)));
+    let choice = choose(&mut placement, &ask(at(0)), &mut Attempt::default());
+    assert_eq!(chosen(&choice), "a1");
+}
+
+/// Guards against a backend server that fails often and keeps its full share.
+#[test]
+fn failing_backend_server_gets_less() {
+    let mut placement = placement(&[("a1", "a"), ("a2", "a")]);
+    let ask = Ask { idempotent: false, ..ask(at(0)) };
+    let mut rng = rng(3);
+    let mut counts = [0, 0];
+    for _ in 0..200 {
+        let mut attempt = Attempt::default();
+        let choice = placement.choose(at(1), &mut rng, &ask, &mut attempt);
+        let vm = id(chosen(&choice));
+        let failing = vm == id("a1");
+        counts[usize::from(failing)] += 1;
+        let run = ms(20);
+        let outcome =
+            if failing { Outcome::Shed } else { Outcome::Answered { status: 200, run, bytes: 9 } };
+        placement.ended(at(1), &mut rng, &ask, &mut attempt, &vm, outcome);
+        placement.heard(at(1), &vm, load(0, 0));
+    }
+    assert!(counts[1] * 5 < counts[0], "{counts:?}");
+}
--- /dev/null
+++ b/crates/fleet/tests/suite/rollout.rs
@@ -0,0 +1,144 @@
+//! Judgement and timetable of moves.
+
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use rand::RngExt;
+use shallottack_fleet::{
+    Evidence, Judgement, Order, Rollout, RolloutSettings, RolloutState, Side, Split, Step,
+};
+
+use crate::fixture::{at, group, id, ms, rng, service};
+
+fn order() -> Order {
+    Order { row: 3, service: service("stock"), to: group("v2"), within: ms(16_000) }
+}
+
+fn rollout() -> Rollout {
+    Rollout::new(RolloutSettings::default(), at(0), order())
+}
+
+/// Share of bad answers of a version, and the factor of run time of those.
+#[derive(Clone, Copy)]
+struct Fault {
+    from_ms: u64,
+    share: f64,
+    slow: f64,
+}
+
+/// Plays 100 requests a second with varying run times until the move ends; returns the state, the
+/// time and the number of requests that the new version got.
+fn play(seed: u64, fault: Option<Fault>, shared: f64) -> (RolloutState, u64, u32) {
+    let mut rollout = rollout();
+    let mut rng = rng(seed);
+    let mut exposed = 0;
+    for step in 0..1_700 {
+        let now = at(step * 10);
+        let route: Arc<str> = Arc::from(if rng.random_bool(0.7) { "view" } else { "pay" });
+        let side = match rollout.split(now, &mut rng) {
+            Split::Only(_) => Side::New,
+            _ => Side::Old,
+        };
+        exposed += u32::from(side == Side::New);
+        let mut seconds: f64 = 0.2 * f64::exp(rng.random_range(-0.9..0.9));
+        let mut failed = rng.random_bool(0.004 + shared);
+        if let Some(fault) = fault
+            && side == Side::New
+            && &*route == "view"
+            && step * 10 >= fault.from_ms
+            && rng.random_bool(fault.share)
+        {
+            seconds *= fault.slow;
+            failed |= fault.slow <= 1.0;
+        }
+        rollout.count(&route, side, failed, ms((seconds * 1_000.0) as u64), false);
+        if let Step::Report(state) = rollout.step(now) {
+            return (state, step * 10, exposed);
+        }
+    }
+    (RolloutState::Running, 17_000, exposed)
+}
+
+/// Guards against a good version that is taken back or not complete in time.
+#[test]
+fn good_version_is_complete_in_time() {
+    for seed in 0..40 {
+        let (state, end, _) = play(seed, None, 0.0);
+        assert_eq!(state, RolloutState::Completed, "seed {seed}");
+        assert!(end < 16_000, "seed {seed}: {end} ms");
+    }
+}
+
+/// Guards against taking a good version back for a fault that both versions have.
+#[test]
+fn shared_fault_takes_nothing_back() {
+    for seed in 0..40 {
+        assert_eq!(play(seed, None, 0.2).0, RolloutState::Completed, "seed {seed}");
+    }
+}
+
+/// Guards against a bad version that stays in use or gets more than a tenth of the requests and 50.
+#[test]
+fn bad_version_is_taken_back() {
+    let faults = [
+        ("errors", Fault { from_ms: 0, share: 0.33, slow: 1.0 }),
+        ("late errors", Fault { from_ms: 3_000, share: 0.5, slow: 1.0 }),
+        ("slow", Fault { from_ms: 0, share: 0.5, slow: 8.0 }),
+    ];
+    for (name, fault) in faults {
+        for seed in 0..40 {
+            let (state, end, exposed) = play(seed, Some(fault), 0.0);
+            assert_eq!(state, RolloutState::RolledBack, "{name}, seed {seed}");
+            let most = 0.1 * 1_600.0 + 50.0;
+            assert!(f64::from(exposed) < most, "{name}, seed {seed}: {exposed} in {end} ms");
+        }
+    }
+}
+
+/// Guards against each daemon waiting for evidence of its own.
+#[test]
+fn evidence_of_other_daemons_counts() {
+    let mut rollout = rollout();
+    for vm in ["vm-1", "vm-2", "vm-3", "vm-4"] {
+        let mut other = super::rollout::rollout();
+        for _ in 0..20 {
+            other.count(&Arc::from("view"), Side::Old, false, ms(100), false);
+        }
+        for _ in 0..5 {
+            other.count(&Arc::from("view"), Side::New, false, ms(100), false);
+        }
+        other.count(&Arc::from("view"), Side::New, true, ms(100), false);
+        assert_eq!(other.judgement(), Judgement::Open);
+        rollout.hear(&id(vm), 1, other.evidence());
+    }
+    assert_eq!(rollout.judgement(), Judgement::Bad);
+    assert!(matches!(rollout.split(at(1), &mut rng(1)), Split::Except { strict: true, .. }));
+}
+
+/// Guards against counts of an earlier order that judge the present one.
+#[test]
+fn evidence_of_another_order_is_ignored() {
+    let mut rollout = rollout();
+    let mut other = super::rollout::rollout();
+    (0..50).for_each(|_| other.count(&Arc::from("view"), Side::New, true, ms(9), false));
+    let earlier = Evidence { row: 2, ..other.evidence().clone() };
+    rollout.hear(&id("vm-1"), 1, &earlier);
+    assert_eq!(rollout.judgement(), Judgement::Open);
+}
+
+proptest! {
+    /// Guards against a final state that changes, and a share that falls while nothing is bad.
+    #[test]
+    fn share_only_rises_and_the_end_is_final(times in proptest::collection::vec(0u64..20_000, 2..20)) {
+        let mut rollout = rollout();
+        let mut times = times;
+        times.sort_unstable();
+        for pair in times.windows(2) {
+            prop_assert!(rollout.share(at(pair[0])) <= rollout.share(at(pair[1])));
+        }
+        rollout.set_state(RolloutState::RolledBack);
+        rollout.set_state(RolloutState::Completed);
+        prop_assert_eq!(rollout.state(), RolloutState::RolledBack);
+        prop_assert_eq!(rollout.step(at(15_900)), Step::Wait);
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/suite/slots.rs
@@ -0,0 +1,104 @@
+//! Which request runs, waits or is rejected at one backend server.
+
+use shallottack_fleet::{Arrival, Slots, SlotsSettings, TaskId, Verdict, Wake};
+use shallottack_kernel::{ErrorKind, Time};
+
+use crate::fixture::{arrival, at};
+
+/// Slots with `limit` places that are all taken by tasks from 1,000.
+fn full(limit: u32) -> Slots {
+    let mut slots = Slots::new(SlotsSettings::default());
+    slots.set_limit(at(0), limit);
+    for task in 0..limit {
+        let arrival = arrival(1_000 + u64::from(task), 1, at(0), 5_000, 9_000);
+        assert_eq!(slots.arrive(at(0), arrival), Verdict::Run);
+    }
+    slots
+}
+
+fn started(wakes: &[Wake]) -> Vec<u64> {
+    wakes
+        .iter()
+        .filter_map(|it| match it {
+            Wake::Start(TaskId(task)) => Some(*task),
+            Wake::Reject(..) => None,
+        })
+        .collect()
+}
+
+/// Guards against more requests at the backend server than it has slots.
+#[test]
+fn slots_are_filled_exactly() {
+    let mut slots = full(4);
+    assert_eq!(slots.arrive(at(1), arrival(1, 1, at(1), 5_000, 9_000)), Verdict::Wait);
+    assert_eq!(slots.load(at(1)).running, 4);
+    let wakes = slots.finish(at(2), TaskId(1_000), true);
+    assert_eq!(started(&wakes), [1]);
+    assert_eq!(slots.load(at(2)).running, 4);
+}
+
+/// Guards against a routine request that starts before an urgent one, and either before a call
+/// that a running request waits for.
+#[test]
+fn nested_calls_and_urgent_requests_go_first() {
+    let mut slots = full(1);
+    slots.arrive(at(1), arrival(1, 2, at(1), 5_000, 9_000));
+    slots.arrive(at(2), arrival(2, 0, at(2), 5_000, 9_000));
+    slots.arrive(at(3), Arrival { nested: true, ..arrival(3, 2, at(3), 5_000, 9_000) });
+    let mut order = started(&slots.finish(at(4), TaskId(1_000), true));
+    while let Some(last) = order.last().copied().filter(|_| order.len() < 3) {
+        order.extend(started(&slots.finish(at(5), TaskId(last), true)));
+    }
+    assert_eq!(order, [3, 2, 1]);
+}
+
+/// Guards against a request that waits although its turn can't come in time.
+#[test]
+fn hopeless_request_is_rejected_at_once() {
+    let mut slots = full(1);
+    let mut rejected = 0;
+    for task in 0..20 {
+        let verdict = slots.arrive(at(1), arrival(task, 1, at(1), 400, 900));
+        if let Verdict::Reject { kind, retry_after } = verdict {
+            assert_eq!(kind, ErrorKind::Overloaded);
+            assert!(!retry_after.is_zero());
+            rejected += 1;
+        }
+    }
+    assert!(rejected >= 15, "{rejected}");
+}
+
+/// Guards against a request that is held nearly to its deadline behind a backend server that
+/// stands still.
+#[test]
+fn request_behind_a_stalled_server_is_given_up_early() {
+    let mut slots = full(1);
+    assert_eq!(slots.arrive(at(1), arrival(1, 1, at(1), 400, 1_000)), Verdict::Wait);
+    let ended = (1..=1_000)
+        .find(|&ms| slots.review(at(ms)).iter().any(|it| matches!(it, Wake::Reject(TaskId(1), _))));
+    assert!(ended.is_some_and(|ms| ms <= 500), "{ended:?}");
+}
+
+/// Guards against requests that wait for a backend server that has left.
+#[test]
+fn all_are_rejected_when_the_server_leaves() {
+    let mut slots = full(2);
+    slots.arrive(at(1), arrival(1, 1, at(1), 5_000, 9_000));
+    slots.arrive(at(1), arrival(2, 1, at(1), 5_000, 9_000));
+    let wakes = slots.set_limit(at(2), 0);
+    assert_eq!(wakes.len(), 2);
+    assert!(started(&wakes).is_empty());
+    let verdict = slots.arrive(at(3), arrival(3, 1, at(3), 5_000, 9_000));
+    assert!(matches!(verdict, Verdict::Reject { kind: ErrorKind::NoEndpoint, .. }), "{verdict:?}");
+}
+
+/// Guards against slots that are lost when callers go away.
+#[test]
+fn cancelled_requests_give_their_slots_back() {
+    let mut slots = full(2);
+    slots.arrive(at(1), arrival(1, 1, at(1), 5_000, 9_000));
+    slots.arrive(at(1), arrival(2, 1, at(1), 5_000, 9_000));
+    assert!(slots.cancel(at(2), TaskId(1)).is_empty());
+    assert_eq!(started(&slots.cancel(at(2), TaskId(1_000))), [2]);
+    assert_eq!(slots.load(Time(2_000)).queued, 0);
+}
--- a/crates/sidecar/src/heartbeats.rs
+++ b/crates/sidecar/src/heartbeats.rs
@@ -30,7 +30,10 @@
     match *request.method() {
         Method::PUT => Ok(beat(&node, id, request).await),
         Method::DELETE => {
-            let accepted = node.cores().local.leave(node.now(), &id);
+            let body = Limited::new(request.into_body(), MAX_BYTES).collect().await;
+            let body = body.map(|it| it.to_bytes()).unwrap_or_default();
+            let born = heartbeat::decode_leave(&body);
+            let accepted = node.cores().local.leave(node.now(), &id, born);
             note(&node, &id, accepted, "left");
             Ok(status(StatusCode::OK))
         }
