Serve requests that can still be in time before those that can't

Cause: requests of one rank ran in the order of their goals, so that under excess each one started when its mean run just fitted, and half ended late. Change: a request counts as late 1.8 mean runs before its goal and goes behind.

--- a/crates/fleet/src/slots.rs
+++ b/crates/fleet/src/slots.rs
@@ -26,6 +26,10 @@
     pub wait_part: f64,
     /// Part of its remaining time for which a request that misses its goal may wait.
     pub late_part: f64,
+    /// Mean run times before its goal after which a request counts as late: most runs end within
+    /// them. Requests that would start later go behind all others of their rank, so that the
+    /// slots serve those whose answers are in time.
+    pub safe_runs: f64,
     /// Part of its time for which a late request is held before it is rejected.
     pub held_part: f64,
     /// Time over which the work of each rank is averaged; a few queues drain in it.
@@ -43,6 +47,7 @@
             cost_weight: 0.05,
             wait_part: 0.5,
             late_part: 0.25,
+            safe_runs: 1.8,
             held_part: 0.4,
             work_window: Duration::from_millis(500),
             queued: 256,
@@ -273,8 +278,8 @@
     /// Returns whether a request that misses its goal has been held for too much of its time.
     fn held_long(&self, now: Time, waiting: &Waiting) -> bool {
         let time = waiting.arrival.deadline.since(waiting.arrived);
-        let late = now + waiting.cost > waiting.arrival.goal;
-        late && now.since(waiting.arrived) > time.mul_f64(self.settings.held_part)
+        self.late(now, &waiting.arrival, waiting.cost)
+            && now.since(waiting.arrived) > time.mul_f64(self.settings.held_part)
     }
 
     fn running(&self) -> u32 {
@@ -297,8 +302,12 @@
 
     /// Returns the rank in the queue: requests that others wait for, then by priority, then those
     /// that can still meet their goal.
-    fn rank(now: Time, arrival: &Arrival, cost: Duration) -> (usize, bool, Time) {
-        (Slots::urgency(arrival), now + cost > arrival.goal, arrival.goal)
+    fn rank(&self, now: Time, arrival: &Arrival, cost: Duration) -> (usize, bool, Time) {
+        (Slots::urgency(arrival), self.late(now, arrival, cost), arrival.goal)
+    }
+
+    fn late(&self, now: Time, arrival: &Arrival, cost: Duration) -> bool {
+        !arrival.nested && now + cost.mul_f64(self.settings.safe_runs) > arrival.goal
     }
 
     fn urgency(arrival: &Arrival) -> usize {
@@ -306,23 +315,25 @@
         rank.min(RANKS - 1)
     }
 
-    /// Returns the part of the slots that more urgent requests leave.
-    fn left_part(&self, now: Time, arrival: &Arrival) -> f64 {
+    /// Returns the part of the slots that more urgent requests leave, and to late requests all
+    /// others of their rank.
+    fn left_part(&self, now: Time, arrival: &Arrival, late: bool) -> f64 {
         let window = self.settings.work_window;
-        let urgent = &self.work[..Slots::urgency(arrival)];
+        let urgent = &self.work[..Slots::urgency(arrival) + usize::from(late)];
         let work: f64 = urgent.iter().map(|it| it.at(now, window)).sum();
         let slots = f64::from(self.limit.max(1)) * window.as_secs_f64();
         (1.0 - work / slots).max(LEAST_PART)
     }
 
     fn place(&self, now: Time, arrival: &Arrival, cost: Duration) -> usize {
-        let rank = Slots::rank(now, arrival, cost);
-        self.queue.partition_point(|it| Slots::rank(now, &it.arrival, it.cost) <= rank)
+        let rank = self.rank(now, arrival, cost);
+        self.queue.partition_point(|it| self.rank(now, &it.arrival, it.cost) <= rank)
     }
 
     /// Returns the time until the request at a place of the queue starts, with the more urgent
     /// ones that are expected to arrive before.
     fn wait(&self, now: Time, place: usize, arrival: &Arrival) -> Duration {
+        let late = self.late(now, arrival, self.cost(&arrival.route));
         let limit = self.limit.max(1);
         // A slot gets free when one of the running requests ends; they are half done on average.
         let residual: Duration = self
@@ -332,7 +343,7 @@
             .sum::<Duration>()
             / (limit * limit);
         let before: Duration = self.queue[..place].iter().map(|it| it.cost).sum();
-        (residual + before / limit).div_f64(self.left_part(now, arrival))
+        (residual + before / limit).div_f64(self.left_part(now, arrival, late))
     }
 
     /// Returns how long a request may wait.
@@ -361,7 +372,7 @@
         while self.running() < self.limit && !self.queue.is_empty() {
             // Ranks change while requests wait: those that missed their goal go behind.
             let next = (0..self.queue.len())
-                .min_by_key(|&it| Slots::rank(now, &self.queue[it].arrival, self.queue[it].cost))
+                .min_by_key(|&it| self.rank(now, &self.queue[it].arrival, self.queue[it].cost))
                 .unwrap_or(0);
             let waiting = self.queue.remove(next);
             self.run(now, &waiting.arrival);
