--- a/crates/fleet/tests/suite/slots_load.rs
+++ b/crates/fleet/tests/suite/slots_load.rs
@@ -93,7 +93,6 @@
         late: sum.late + it.late,
         held_ms: sum.held_ms + it.held_ms,
     });
-    println!("{all:?} {fared:?}");
     assert!(all.late * 5 < all.on_time, "{all:?}");
     // 1 / 1.4 of the requests fit.
     assert!(all.share() > 0.6, "{all:?}");
--- /dev/null
+++ b/crates/shallottackd/tests/suite/fleet.rs
@@ -0,0 +1,273 @@
+//! A fleet of daemons as separate processes, with stand-ins for the store and backend servers.
+
+use std::{
+    fs,
+    net::{SocketAddr, TcpListener},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering::SeqCst},
+    thread,
+    time::{Duration, Instant},
+};
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::json;
+use shallottack_standins::site::{Answering, Received, SiteServer, SiteStore, exchange};
+
+/// Time in which a change has to show; the platform's bounds are 2 s and more.
+const WITHIN: Duration = Duration::from_secs(8);
+
+static FILES: AtomicU32 = AtomicU32::new(0);
+
+/// A daemon with its backend server; the process is ended with the value.
+struct Vm {
+    child: Child,
+    server: SiteServer,
+    callers: SocketAddr,
+    ready: SocketAddr,
+    heartbeats: SocketAddr,
+    settings: PathBuf,
+}
+
+impl Vm {
+    fn start(name: &str, service: &str, store: SocketAddr) -> Vm {
+        let server = SiteServer::start(&format!("i-{name}"), service).unwrap();
+        let [callers, peers, ready, heartbeats, metrics] = free_addresses();
+        let file =
+            format!("shallottack-fleet-{}-{}.yaml", std::process::id(), FILES.fetch_add(1, SeqCst));
+        let settings = std::env::temp_dir().join(file);
+        let text = format!(
+            "vm: {name}\ndata_centre: a\nservice: {service}\nbackend: \"{}\"\nlisten:\n  \
+             callers: \"{callers}\"\n  peers: \"{peers}\"\n  ready: \"{ready}\"\n  \
+             heartbeats: \"{heartbeats}\"\n  metrics: \"{metrics}\"\nstore: \"{store}\"\n\
+             heartbeat: 1500ms\nstop:\n  grace: 6s\nretries:\n  ratio: 0.2\n  extra: 60\n  \
+             window: 10s\n",
+            server.address()
+        );
+        fs::write(&settings, text).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_shallottackd"))
+            .arg("--fleet")
+            .arg(&settings)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        let vm = Vm { child, server, callers, ready, heartbeats, settings };
+        eventually("the daemon takes heartbeats", || {
+            vm.server.heartbeat(vm.heartbeats, "ready").is_ok_and(|it| it == 200)
+        });
+        vm
+    }
+
+    fn get(&self, path: &str, id: &str) -> Received {
+        let request = request("GET", path, id);
+        exchange(self.callers, &request, 1)
+            .map_or_else(|_| Received::default(), |mut it| it.remove(0))
+    }
+
+    fn is_ready(&self) -> bool {
+        let request = "GET /v1/ready HTTP/1.1\r\nhost: x\r\n\r\n";
+        exchange(self.ready, request, 1).is_ok_and(|it| it[0].status == 200)
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.child);
+        kill_process(pid, signal).unwrap();
+    }
+}
+
+impl Drop for Vm {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.settings);
+    }
+}
+
+fn request(method: &str, path: &str, id: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: shop.example\r\nrequest-id: {id}\r\n\
+         deadline-ms: 4000\r\ncaller-service: forged\r\n\r\n"
+    )
+}
+
+fn free_addresses() -> [SocketAddr; 5] {
+    // Held together, so that the five ports differ.
+    let held = [(); 5].map(|()| TcpListener::bind(("127.0.0.1", 0)).unwrap());
+    held.map(|it| it.local_addr().unwrap())
+}
+
+fn eventually(what: &str, mut condition: impl FnMut() -> bool) {
+    let end = Instant::now() + WITHIN;
+    while !condition() {
+        assert!(Instant::now() < end, "not within {WITHIN:?}: {what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn configuration(version: &str, paths: &[&str]) -> serde_json::Value {
+    let route = |path: &&str| {
+        let kind = if path.contains("order") { "non_idempotent" } else { "idempotent" };
+        json!({"name": format!("r{}", path.replace('/', "-")), "host": "shop.example",
+            "prefix": path, "kind": kind, "timeout": "3000ms", "latency_goal": "500ms",
+            "priority": 1, "service": "stock", "attempts": 2})
+    };
+    let routes: Vec<serde_json::Value> = paths.iter().map(route).collect();
+    json!({"version": version, "routes": routes, "services": [], "limits":
+        {"max_header_bytes": 16_384, "max_body_bytes": 1_000_000, "header_timeout": "3000ms",
+         "idle_timeout": "15000ms"}})
+}
+
+/// Store with a configuration, a VM of `shop` for the callers and VMs of `stock`.
+fn fleet(stock: &[&str]) -> (SiteStore, Vm, Vec<Vm>) {
+    let store = SiteStore::start().unwrap();
+    store.put("op", "config", &configuration("00000001", &["/count/", "/order/"]));
+    let shop = Vm::start("shop-1", "shop", store.address());
+    let stock: Vec<Vm> = stock.iter().map(|it| Vm::start(it, "stock", store.address())).collect();
+    eventually("a request is served", || shop.get("/count/1", "warm").status == 200);
+    (store, shop, stock)
+}
+
+/// Guards against a break anywhere on the path, and against headers that a caller could forge.
+#[test]
+fn request_is_served_through_two_daemons() {
+    let (_store, shop, stock) = fleet(&["stock-1"]);
+    let answer = shop.get("/count/a%2Fb/../c?x=1", "r1");
+    assert_eq!((answer.status, answer.body.as_slice()), (200, b"whole".as_slice()));
+    assert_eq!(answer.header("request-id"), Some("r1"));
+    assert_eq!(answer.header("response-signature"), Some("i-stock-1.1"));
+    let run = stock[0].server.runs().pop().unwrap();
+    assert_eq!(run.target, "/count/a%2Fb/../c?x=1");
+    assert_eq!(run.header("caller-service"), Some("shop"));
+    assert_eq!(run.header("target-instance"), Some("i-stock-1"));
+    let left: u64 = run.header("deadline-ms").unwrap().parse().unwrap();
+    assert!((2_000..=3_000).contains(&left), "{left}");
+}
+
+/// Guards against a daemon that answers 404 before it knows the configuration, or 503 for a route
+/// that no configuration has.
+#[test]
+fn missing_configuration_and_missing_route_differ() {
+    let store = SiteStore::start().unwrap();
+    let shop = Vm::start("shop-1", "shop", store.address());
+    let answer = shop.get("/count/1", "r1");
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    assert!(!shop.is_ready());
+    store.put("op", "config", &configuration("00000001", &["/count/"]));
+    eventually("the daemon is ready", || shop.is_ready());
+    assert_eq!(shop.get("/other/1", "r2").status, 404);
+    assert_eq!(shop.get("/count/1", "r3").status, 503);
+}
+
+/// Guards against a second run of an order whose answer was lost, and against answering it with a
+/// status that says that it did not run.
+#[test]
+fn lost_order_runs_once_and_a_lost_count_is_repeated() {
+    let (_store, shop, stock) = fleet(&["stock-1", "stock-2"]);
+    for vm in &stock {
+        vm.server.answer(Answering::Lost);
+    }
+    let before: usize = stock.iter().map(|it| it.server.runs().len()).sum();
+    let request = request("POST", "/order/1", "o1");
+    let answer = exchange(shop.callers, &request, 1).unwrap().remove(0);
+    assert!(matches!(answer.status, 502 | 504), "{}", answer.status);
+    let after: usize = stock.iter().map(|it| it.server.runs().len()).sum();
+    assert_eq!(after - before, 1);
+    let answer = shop.get("/count/1", "c1");
+    assert!(matches!(answer.status, 502 | 504), "{}", answer.status);
+    let last: usize = stock.iter().map(|it| it.server.runs().len()).sum();
+    assert_eq!(last - after, 2, "a count goes to both backend servers");
+}
+
+/// Guards against an answer to another request reaching a caller.
+#[test]
+fn foreign_answer_is_not_passed_on() {
+    let (_store, shop, stock) = fleet(&["stock-1"]);
+    stock[0].server.answer(Answering::Foreign);
+    let answer = shop.get("/count/1", "c1");
+    assert_eq!(answer.status, 502);
+    assert_eq!(answer.header("request-id"), Some("c1"));
+    assert_eq!(answer.header("response-signature"), None);
+}
+
+/// Guards against a refusal that costs the caller its request while another server has room.
+#[test]
+fn shed_request_goes_to_another_server() {
+    let (_store, shop, stock) = fleet(&["stock-1", "stock-2"]);
+    stock[0].server.answer(Answering::Shed);
+    for number in 0..10 {
+        let request = request("POST", "/order/1", &format!("o{number}"));
+        let answer = exchange(shop.callers, &request, 1).unwrap().remove(0);
+        assert!(matches!(answer.status, 200 | 429), "{}", answer.status);
+    }
+    let orders = stock[1].server.runs().iter().filter(|it| it.target == "/order/1").count();
+    assert!(orders >= 8, "{orders}");
+}
+
+/// Guards against new work for a server that has said that it drains.
+#[test]
+fn draining_server_gets_nothing_new() {
+    let (_store, shop, stock) = fleet(&["stock-1", "stock-2"]);
+    assert_eq!(stock[0].server.heartbeat(stock[0].heartbeats, "draining").unwrap(), 200);
+    let before = stock[0].server.runs().len();
+    for number in 0..20 {
+        assert_eq!(shop.get("/count/1", &format!("c{number}")).status, 200);
+    }
+    assert_eq!(stock[0].server.runs().len(), before);
+}
+
+/// Guards against answers in another order than their requests on one connection.
+#[test]
+fn pipelined_requests_are_answered_in_order() {
+    let (_store, shop, _stock) = fleet(&["stock-1"]);
+    let requests: String = (0..5).map(|it| request("GET", "/count/1", &format!("p{it}"))).collect();
+    let answers = exchange(shop.callers, &requests, 5).unwrap();
+    let ids: Vec<&str> = answers.iter().filter_map(|it| it.header("request-id")).collect();
+    assert_eq!(ids, ["p0", "p1", "p2", "p3", "p4"]);
+}
+
+/// Guards against requests that fail while the store is down, and against changes that are missed
+/// after it is back.
+#[test]
+fn outage_of_the_store_stops_nothing() {
+    let (store, shop, stock) = fleet(&["stock-1"]);
+    store.set_down(true);
+    for number in 0..5 {
+        assert_eq!(shop.get("/count/1", &format!("c{number}")).status, 200);
+    }
+    store.put("op", "config", &configuration("00000002", &["/count/", "/late/"]));
+    store.set_down(false);
+    eventually("the new route is in force", || shop.get("/late/1", "l1").status == 200);
+    drop(stock);
+}
+
+/// Guards against a planned stop that cuts a request, or a daemon that counts as ready meanwhile.
+#[test]
+fn planned_stop_finishes_requests() {
+    let (store, mut shop, stock) = fleet(&["stock-1"]);
+    stock[0].server.answer(Answering::After(Duration::from_millis(1_500)));
+    let callers = shop.callers;
+    let slow = thread::spawn(move || exchange(callers, &request("GET", "/count/1", "s1"), 1));
+    eventually("the slow request runs", || {
+        stock[0].server.runs().iter().any(|it| it.header("request-id") == Some("s1"))
+    });
+    shop.signal(Signal::TERM);
+    eventually("the daemon is not ready", || !shop.is_ready());
+    assert_eq!(slow.join().unwrap().unwrap()[0].status, 200);
+    let ended = Instant::now();
+    let status = shop.child.wait().unwrap();
+    assert!(status.success(), "{status}");
+    assert!(ended.elapsed() < Duration::from_secs(6));
+    drop(store);
+}
+
+/// Guards against a signal for changed settings that ends the daemon.
+#[test]
+fn reload_goes_on_serving() {
+    let (_store, shop, _stock) = fleet(&["stock-1"]);
+    shop.signal(Signal::HUP);
+    for number in 0..50 {
+        assert_eq!(shop.get("/count/1", &format!("c{number}")).status, 200);
+    }
+}
--- a/crates/shallottackd/tests/suite/main.rs
+++ b/crates/shallottackd/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the daemon as a whole.
 
+mod fleet;
 mod local;
 mod mesh;
 mod settings;
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -155,23 +155,6 @@
         self.idle().clear();
     }
 
-    /// Asks the backend server how it is: its identifier, if it is healthy.
-    ///
-    /// # Errors
-    ///
-    /// Returns what went wrong when there is no answer.
-    pub async fn health(&self, path: &str, within: Duration) -> Result<Option<EndpointId>, String> {
-        let mut connection = self.connect().await?;
-        let request = Request::get(path)
-            .header(header::HOST, self.address.to_string())
-            .body(Full::default())
-            .map_err(|it| it.to_string())?;
-        let response = timeout(within, connection.sender.send_request(request)).await;
-        let response = response.map_err(|it| it.to_string())?.map_err(|it| it.to_string())?;
-        let id = headers::instance(response.headers());
-        Ok(id.filter(|_| response.status() == StatusCode::OK))
-    }
-
     fn idle(&self) -> MutexGuard<'_, Vec<Kept>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod backend;
 mod call;
 pub mod platform;
+pub mod site;
 
 pub use backend::{Backend, BackendSettings};
 pub use call::fetch_json;
--- /dev/null
+++ b/crates/standins/src/site.rs
@@ -0,0 +1,9 @@
+//! Stand-ins for the users' platform: its store, and a backend server that sends heartbeats.
+
+mod http;
+mod server;
+mod store;
+
+pub use http::{Received, Reply, exchange};
+pub use server::{Answering, SiteServer};
+pub use store::SiteStore;
--- /dev/null
+++ b/crates/standins/src/site/http.rs
@@ -0,0 +1,135 @@
+//! Blocking HTTP/1.1 exchange over one connection, for stand-ins that have to misbehave.
+
+use std::{
+    io::{self, BufRead, BufReader, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    thread,
+};
+
+/// Most headers of one message.
+const HEADERS: usize = 64;
+
+/// A message that was received whole.
+#[derive(Debug, Clone, Default)]
+pub struct Received {
+    /// Method of a request; empty for a response.
+    pub method: String,
+    /// Path and query of a request.
+    pub target: String,
+    /// Status of a response; 0 for a request.
+    pub status: u16,
+    /// Headers with names in lower case.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl Received {
+    /// Returns the first value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|it| it.0 == name).map(|it| it.1.as_str())
+    }
+}
+
+/// What a stand-in does with a request.
+#[derive(Debug, Clone)]
+pub enum Reply {
+    /// Answers.
+    Answer {
+        /// Status code.
+        status: u16,
+        /// Headers besides the length.
+        headers: Vec<(String, String)>,
+        /// Body.
+        body: Vec<u8>,
+    },
+    /// Closes the connection without an answer.
+    Close,
+}
+
+/// Serves `handler` on a free loopback port, one thread for each connection, until the process
+/// ends.
+///
+/// # Errors
+///
+/// Returns the error of the operating system when no port can be opened.
+pub(super) fn serve<F>(handler: F) -> io::Result<SocketAddr>
+where
+    F: Fn(Received) -> Reply + Clone + Send + 'static,
+{
+    let listener = TcpListener::bind(("127.0.0.1", 0))?;
+    let address = listener.local_addr()?;
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let handler = handler.clone();
+            thread::spawn(move || {
+                // A connection that the other side breaks off ends its thread.
+                let _ = serve_connection(stream, handler);
+            });
+        }
+    });
+    Ok(address)
+}
+
+/// Sends raw requests over one connection and returns `count` responses.
+///
+/// # Errors
+///
+/// Returns the error of the operating system, or of a response that ends early.
+pub fn exchange(to: SocketAddr, requests: &str, count: usize) -> io::Result<Vec<Received>> {
+    let mut stream = TcpStream::connect(to)?;
+    stream.set_read_timeout(Some(std::time::Duration::from_secs(10)))?;
+    stream.write_all(requests.as_bytes())?;
+    let mut reader = BufReader::new(stream);
+    (0..count)
+        .map(|_| receive(&mut reader)?.ok_or_else(|| io::ErrorKind::UnexpectedEof.into()))
+        .collect()
+}
+
+fn serve_connection(stream: TcpStream, handler: impl Fn(Received) -> Reply) -> io::Result<()> {
+    let mut writer = stream.try_clone()?;
+    let mut reader = BufReader::new(stream);
+    while let Some(request) = receive(&mut reader)? {
+        let Reply::Answer { status, headers, body } = handler(request) else { return Ok(()) };
+        let mut head = format!("HTTP/1.1 {status} -\r\ncontent-length: {}\r\n", body.len());
+        for (name, value) in headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        head.push_str("\r\n");
+        writer.write_all(&[head.as_bytes(), &body].concat())?;
+    }
+    Ok(())
+}
+
+/// Reads one message; `None` when the connection ended before it.
+fn receive(reader: &mut impl BufRead) -> io::Result<Option<Received>> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        if reader.read_until(b'\n', &mut head)? == 0 {
+            return Ok(None);
+        }
+    }
+    let malformed = |error: httparse::Error| io::Error::new(io::ErrorKind::InvalidData, error);
+    let mut fields = [httparse::EMPTY_HEADER; HEADERS];
+    let mut message = Received::default();
+    let fields = if head.starts_with(b"HTTP/") {
+        let mut response = httparse::Response::new(&mut fields);
+        response.parse(&head).map_err(malformed)?;
+        message.status = response.code.unwrap_or_default();
+        response.headers
+    } else {
+        let mut request = httparse::Request::new(&mut fields);
+        request.parse(&head).map_err(malformed)?;
+        message.method = request.method.unwrap_or_default().to_owned();
+        message.target = request.path.unwrap_or_default().to_owned();
+        request.headers
+    };
+    for field in fields.iter() {
+        let value = String::from_utf8_lossy(field.value).into_owned();
+        message.headers.push((field.name.to_ascii_lowercase(), value));
+    }
+    let length = message.header("content-length").and_then(|it| it.parse().ok()).unwrap_or(0);
+    message.body.resize(length, 0);
+    reader.read_exact(&mut message.body)?;
+    Ok(Some(message))
+}
--- /dev/null
+++ b/crates/standins/src/site/server.rs
@@ -0,0 +1,131 @@
+//! Backend server that signs its answers and sends heartbeats.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    thread,
+    time::Duration,
+};
+
+use super::http::{Received, Reply, exchange, serve};
+
+/// How a backend server answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Answering {
+    /// Runs the request and answers after a time.
+    After(Duration),
+    /// Runs the request and closes the connection.
+    Lost,
+    /// Answers that it did not run the request.
+    Shed,
+    /// Runs the request and answers under the identifier of another one.
+    Foreign,
+}
+
+struct State {
+    answering: Answering,
+    runs: Vec<Received>,
+    sequence: u64,
+}
+
+/// Backend server on a loopback port.
+#[derive(Clone)]
+pub struct SiteServer {
+    id: String,
+    service: String,
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+impl SiteServer {
+    /// Starts a backend server that answers at once.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system when no port can be opened.
+    pub fn start(id: &str, service: &str) -> io::Result<SiteServer> {
+        let answering = Answering::After(Duration::ZERO);
+        let state = Arc::new(Mutex::new(State { answering, runs: Vec::new(), sequence: 0 }));
+        let (own, served) = (id.to_owned(), Arc::clone(&state));
+        let address = serve(move |request| answer(&own, &served, request))?;
+        Ok(SiteServer { id: id.to_owned(), service: service.to_owned(), address, state })
+    }
+
+    /// Returns the address that it serves.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets how it answers from now on.
+    pub fn answer(&self, answering: Answering) {
+        lock(&self.state).answering = answering;
+    }
+
+    /// Returns the requests that it has run.
+    pub fn runs(&self) -> Vec<Received> {
+        lock(&self.state).runs.clone()
+    }
+
+    /// Sends a heartbeat with a state to the daemon at `to`; returns the status of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system when the daemon can't be reached.
+    pub fn heartbeat(&self, to: SocketAddr, state: &str) -> io::Result<u16> {
+        let sequence = {
+            let mut state = lock(&self.state);
+            state.sequence += 1;
+            state.sequence
+        };
+        let body = serde_json::json!({
+            "service": self.service, "address": self.address.to_string(), "zone": "a",
+            "version": "v1", "capacity": 4, "state": state, "warmup_left": "0ms",
+            "sequence": sequence, "born": 1,
+        })
+        .to_string();
+        let request = format!(
+            "PUT /v1/instances/{} HTTP/1.1\r\nhost: x\r\ncontent-length: {}\r\n\r\n{body}",
+            self.id,
+            body.len()
+        );
+        Ok(exchange(to, &request, 1)?[0].status)
+    }
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn answer(id: &str, state: &Mutex<State>, request: Received) -> Reply {
+    let meant = request.header("target-instance").unwrap_or(id).to_owned();
+    let request_id = request.header("request-id").unwrap_or_default().to_owned();
+    if meant != id {
+        let headers = vec![("instance-id".to_owned(), id.to_owned())];
+        return Reply::Answer { status: 421, headers, body: Vec::new() };
+    }
+    let answering = {
+        let mut state = lock(state);
+        if state.answering != Answering::Shed {
+            state.runs.push(request);
+        }
+        state.answering
+    };
+    let signed = |request_id: String| {
+        let signature = ("response-signature".to_owned(), format!("{id}.1"));
+        let headers = vec![("request-id".to_owned(), request_id), signature];
+        Reply::Answer { status: 200, headers, body: b"whole".to_vec() }
+    };
+    match answering {
+        Answering::After(time) => {
+            thread::sleep(time);
+            signed(request_id)
+        }
+        Answering::Foreign => signed("another".to_owned()),
+        Answering::Lost => Reply::Close,
+        Answering::Shed => {
+            let headers = vec![("not-executed".to_owned(), "1".to_owned())];
+            Reply::Answer { status: 503, headers, body: Vec::new() }
+        }
+    }
+}
