--- a/crates/fleet/src/slots.rs
+++ b/crates/fleet/src/slots.rs
@@ -30,6 +30,9 @@
     /// them. Requests that would start later go behind all others of their rank, so that the
     /// slots serve those whose answers are in time.
     pub safe_runs: f64,
+    /// Late requests that may wait, as a part of the slots. A longer tail shows that more arrives
+    /// than can be served, so that it would be held for nothing.
+    pub late_queue: f64,
     /// Part of its time for which a late request is held before it is rejected.
     pub held_part: f64,
     /// Time over which the work of each rank is averaged; a few queues drain in it.
@@ -48,6 +51,7 @@
             wait_part: 0.5,
             late_part: 0.25,
             safe_runs: 1.8,
+            late_queue: 0.5,
             held_part: 0.4,
             work_window: Duration::from_millis(500),
             queued: 256,
@@ -242,7 +246,7 @@
 
     /// Rejects requests whose turn can no longer come in time.
     pub fn review(&mut self, now: Time) -> SmallVec<[Wake; 4]> {
-        let mut wakes = SmallVec::new();
+        let mut wakes = self.drop_late(now);
         let mut place = 0;
         while place < self.queue.len() {
             let waiting = &self.queue[place];
@@ -269,6 +273,24 @@
         }
     }
 
+    /// Rejects the longest-waiting late requests beyond the number that may wait.
+    fn drop_late(&mut self, now: Time) -> SmallVec<[Wake; 4]> {
+        let late = |it: &Waiting| self.late(now, &it.arrival, it.cost);
+        let count = self.queue.iter().filter(|it| late(it)).count();
+        let most = (f64::from(self.limit) * self.settings.late_queue).ceil() as usize;
+        let mut tasks: SmallVec<[(Time, TaskId); 4]> = self
+            .queue
+            .iter()
+            .filter(|it| late(it))
+            .map(|it| (it.arrived, it.arrival.task))
+            .collect();
+        tasks.sort_unstable();
+        tasks.truncate(count.saturating_sub(most));
+        self.queue.retain(|it| !tasks.iter().any(|(_, task)| *task == it.arrival.task));
+        let least = self.settings.least_retry;
+        tasks.into_iter().map(|(_, task)| Wake::Reject(task, least)).collect()
+    }
+
     /// Returns the share of repeats among the running requests.
     pub fn repeats(&self) -> f64 {
         let repeats = self.running.values().filter(|it| it.repeat).count();
--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -215,6 +215,8 @@
     guard: &mut Pending<'_>,
 ) -> Result<Answered, Failed> {
     let mut last = String::new();
+    // Failure of a backend server that is delivered when no other one can be asked.
+    let mut failure: Option<Answered> = None;
     loop {
         let now = node.now();
         let choice = node.cores().placement.choose(now, &mut rand::rng(), &call.ask, attempt);
@@ -236,6 +238,9 @@
                 (vm, address, server, may_wait)
             }
             Choice::Reject { kind, retry_after } => {
+                if let Some(failure) = failure {
+                    return Ok(failure);
+                }
                 let kind = Placement::final_kind(kind, attempt);
                 let reason = if last.is_empty() { "no backend server to send to" } else { &last };
                 let reason = reason.to_owned();
@@ -265,8 +270,14 @@
         drop(cores);
         match (next, answer) {
             (Next::Deliver, Some(answer)) => return Ok(answer),
-            (Next::Again, _) => last = reason,
+            (Next::Again, answer) => {
+                last = reason;
+                failure = answer.or(failure);
+            }
             (Next::Fail { kind, retry_after }, _) => {
+                if let Some(failure) = failure {
+                    return Ok(failure);
+                }
                 return Err(Failed { kind, retry_after, reason, ran: attempt.ran });
             }
             (Next::Deliver, None) => {
