Take the route's goal and priority for every request

Cause: callers use the VM's own address, so that every request was taken for a call of a running one: it was due at its deadline rather than its goal, and all ranks were one.

--- a/crates/fleet/src/slots.rs
+++ b/crates/fleet/src/slots.rs
@@ -69,8 +69,6 @@
     pub route: Arc<str>,
     /// Rank of the route; 0 is the most urgent.
     pub priority: u8,
-    /// Whether a running request waits for this one.
-    pub nested: bool,
     /// Whether it was sent to another backend server before.
     pub repeat: bool,
     /// Time by which the response is of full use.
@@ -144,8 +142,7 @@
     }
 }
 
-/// Ranks that are told apart: nested requests and the priorities from 0; less urgent ones share
-/// the last.
+/// Priorities that are told apart; less urgent ones share the last.
 const RANKS: usize = 8;
 /// Part of the slots that the least urgent requests are assumed to get at least, so that the
 /// expected wait stays finite.
@@ -322,19 +319,17 @@
         mean.map_or(self.settings.first_cost, |it| Duration::from_micros(*it as u64))
     }
 
-    /// Returns the rank in the queue: requests that others wait for, then by priority, then those
-    /// that can still meet their goal.
+    /// Returns the rank in the queue: by priority, then those that can still meet their goal.
     fn rank(&self, now: Time, arrival: &Arrival, cost: Duration) -> (usize, bool, Time) {
         (Slots::urgency(arrival), self.late(now, arrival, cost), arrival.goal)
     }
 
     fn late(&self, now: Time, arrival: &Arrival, cost: Duration) -> bool {
-        !arrival.nested && now + cost.mul_f64(self.settings.safe_runs) > arrival.goal
+        now + cost.mul_f64(self.settings.safe_runs) > arrival.goal
     }
 
     fn urgency(arrival: &Arrival) -> usize {
-        let rank = if arrival.nested { 0 } else { usize::from(arrival.priority) + 1 };
-        rank.min(RANKS - 1)
+        usize::from(arrival.priority).min(RANKS - 1)
     }
 
     /// Returns the part of the slots that more urgent requests leave, and to late requests all
@@ -371,9 +366,6 @@
     /// Returns how long a request may wait.
     fn patience(&self, now: Time, arrival: &Arrival, cost: Duration) -> Duration {
         let left = arrival.deadline.since(now).saturating_sub(cost);
-        if arrival.nested {
-            return left;
-        }
         let spare = arrival.goal.since(now).saturating_sub(cost);
         if spare.is_zero() {
             return left.mul_f64(self.settings.late_part);
--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -38,7 +38,6 @@
     service: ServiceName,
     began: Time,
     ask: Ask,
-    nested: bool,
     method: String,
     target: String,
     headers: Vec<(String, Vec<u8>)>,
@@ -73,7 +72,7 @@
 ) -> Result<Response<Full<Bytes>>, CallerGone> {
     let _progress = InProgress::new(&node);
     let stream = origin.stream.clone();
-    let answer = async { Ok(answer(&node, &origin, request).await) };
+    let answer = async { Ok(answer(&node, request).await) };
     let gone = async {
         gone::closed(&stream).await;
         Err(CallerGone)
@@ -87,11 +86,7 @@
     })
 }
 
-async fn answer(
-    node: &Arc<Node>,
-    origin: &Origin,
-    request: Request<Incoming>,
-) -> Response<Full<Bytes>> {
+async fn answer(node: &Arc<Node>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let began = node.now();
     let id = headers::request_id(request.headers()).unwrap_or("").to_owned();
     let Some(current) = node.current() else {
@@ -107,7 +102,7 @@
             return refuse(node, &id, began, ErrorKind::NoRoute, Duration::ZERO, &reason);
         }
     };
-    let call = match read(node, origin, &current, request, route, began, id.clone()).await {
+    let call = match read(node, &current, request, route, began, id.clone()).await {
         Ok(call) => call,
         Err((kind, reason)) => {
             return refuse(node, &id, began, kind, Duration::ZERO, &reason);
@@ -144,7 +139,6 @@
 
 async fn read(
     node: &Node,
-    origin: &Origin,
     current: &Current,
     request: Request<Incoming>,
     route: Arc<Route>,
@@ -163,8 +157,7 @@
     let stated = headers::deadline(&head.headers).unwrap_or(DEFAULT_DEADLINE);
     let allowed = route.timeout.map_or(stated, |it| it.min(stated));
     let deadline = began + allowed;
-    let nested = origin.peer.ip() == node.settings.backend.ip();
-    let goal = if nested { allowed } else { route.goal.unwrap_or(allowed).min(allowed) };
+    let goal = route.goal.unwrap_or(allowed).min(allowed);
     let service = route.draw(&mut rand::rng()).cloned();
     let service = service.ok_or((ErrorKind::NoEndpoint, "route has no service".to_owned()))?;
     headers::strip_hop(&mut head.headers);
@@ -182,17 +175,16 @@
     {
         let mut cores = node.cores();
         cores.placement.count_request(began, &service);
-        if nested {
-            let share = cores.slots.repeats();
-            cores.placement.count_nested(began, &service, share);
-        }
+        // Callers and the backend server share the VM's address, so that calls of running requests
+        // can't be told from others; counting all keeps the fleet under its budget.
+        let share = cores.slots.repeats();
+        cores.placement.count_nested(began, &service, share);
     }
     Ok(Call {
         id,
         service,
         began,
         ask,
-        nested,
         method: head.method.as_str().to_owned(),
         target,
         headers: relay::to_wire(&head.headers),
@@ -315,7 +307,6 @@
         caller: node.settings.service.clone(),
         route: Arc::clone(&call.route.name),
         priority: call.route.priority,
-        nested: call.nested,
         repeat,
         idempotent: call.route.idempotent,
         goal: call.ask.goal.since(now),
--- a/crates/sidecar/src/message.rs
+++ b/crates/sidecar/src/message.rs
@@ -21,8 +21,6 @@
     pub route: Arc<str>,
     /// Rank of the route.
     pub priority: u8,
-    /// Whether a running request waits for this one.
-    pub nested: bool,
     /// Whether it was sent to another backend server before.
     pub repeat: bool,
     /// Whether it may run more than once.
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -154,7 +154,6 @@
             task,
             route: Arc::clone(&request.route),
             priority: request.priority,
-            nested: request.nested,
             repeat: request.repeat,
             goal: now + request.goal,
             deadline: now + request.left,
