--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -56,9 +56,9 @@
         PlacementSettings {
             first_cost: Duration::from_millis(100),
             weight: 0.08,
-            remote_part: 0.06,
-            remote_per_kb: 0.05,
-            most_remote: 0.4,
+            remote_part: 0.15,
+            remote_per_kb: 0.12,
+            most_remote: 0.9,
             load_runs: 4.0,
             wait_part: 0.5,
             cold_factor: 2.0,
--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use async_std::net::TcpStream;
 use bytes::Bytes;
 use futures_lite::future;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
@@ -16,7 +17,7 @@
 use crate::{
     events::Event,
     gone,
-    listener::{CallerGone, Origin},
+    listener::CallerGone,
     message::{End, RunReply, RunRequest, decode, encode},
     node::{Cores, Current, Node},
     relay,
@@ -60,18 +61,17 @@
     body: Bytes,
 }
 
-/// Answers a caller's request, or returns early when the caller has gone.
+/// Answers a caller's request that came on `stream`, or returns early when the caller has gone.
 ///
 /// # Errors
 ///
 /// Returns [`CallerGone`] when the caller closed its connection before the answer.
 pub async fn handle(
     node: Arc<Node>,
-    origin: Origin,
+    stream: TcpStream,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, CallerGone> {
     let _progress = InProgress::new(&node);
-    let stream = origin.stream.clone();
     let answer = async { Ok(answer(&node, request).await) };
     let gone = async {
         gone::closed(&stream).await;
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -195,8 +195,8 @@
     connections: Arc<AtomicUsize>,
 ) -> JoinHandle<()> {
     let node = Arc::clone(node);
-    task::spawn(serve(listener, stop, connections, move |origin, request| {
-        callers::handle(Arc::clone(&node), origin, request)
+    task::spawn(serve(listener, stop, connections, move |stream, request| {
+        callers::handle(Arc::clone(&node), stream, request)
     }))
 }
 
--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -3,7 +3,6 @@
 use std::{
     convert::Infallible,
     future::Future,
-    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering::SeqCst},
@@ -53,20 +52,11 @@
 #[error("the caller has closed its connection")]
 pub struct CallerGone;
 
-/// Where a request came from.
-#[derive(Debug, Clone)]
-pub struct Origin {
-    /// Connection that it came on.
-    pub stream: TcpStream,
-    /// Address of the other side.
-    pub peer: SocketAddr,
-}
-
 /// Serves `handler` on `listener` until `stop`, then ends each connection after the request in
 /// progress on it. `open` counts the connections.
 pub async fn serve<F, R>(listener: TcpListener, stop: Stop, open: Arc<AtomicUsize>, handler: F)
 where
-    F: Fn(Origin, Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    F: Fn(TcpStream, Request<Incoming>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Result<Response<Full<Bytes>>, CallerGone>> + Send + 'static,
 {
     loop {
@@ -77,10 +67,9 @@
         };
         match future::or(stopped, accept).await {
             None => return,
-            Some(Ok((stream, peer))) => {
-                let origin = Origin { stream, peer };
+            Some(Ok((stream, _))) => {
                 let counted = Counted::new(Arc::clone(&open));
-                task::spawn(serve_connection(origin, stop.clone(), handler.clone(), counted));
+                task::spawn(serve_connection(stream, stop.clone(), handler.clone(), counted));
             }
             // Descriptors have run out; connections that end free some.
             Some(Err(error)) => {
@@ -91,16 +80,16 @@
     }
 }
 
-async fn serve_connection<F, R>(origin: Origin, stop: Stop, handler: F, _counted: Counted)
+async fn serve_connection<F, R>(stream: TcpStream, stop: Stop, handler: F, _counted: Counted)
 where
-    F: Fn(Origin, Request<Incoming>) -> R + Send + Sync + 'static,
+    F: Fn(TcpStream, Request<Incoming>) -> R + Send + Sync + 'static,
     R: Future<Output = Result<Response<Full<Bytes>>, CallerGone>> + Send + 'static,
 {
-    if origin.stream.set_nodelay(true).is_err() {
+    if stream.set_nodelay(true).is_err() {
         return;
     }
-    let stream = origin.stream.clone();
-    let service = service_fn(move |request| handler(origin.clone(), request));
+    let watched = stream.clone();
+    let service = service_fn(move |request| handler(watched.clone(), request));
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
