--- a/crates/shallottackd/tests/suite/fleet.rs
+++ b/crates/shallottackd/tests/suite/fleet.rs
@@ -26,13 +26,20 @@
     callers: SocketAddr,
     ready: SocketAddr,
     heartbeats: SocketAddr,
+    peers: SocketAddr,
+    metrics: SocketAddr,
     settings: PathBuf,
 }
 
 impl Vm {
     fn start(name: &str, service: &str, store: SocketAddr) -> Vm {
-        let server = SiteServer::start(&format!("i-{name}"), service).unwrap();
         let [callers, peers, ready, heartbeats, metrics] = free_addresses();
+        Vm::start_on(name, service, store, [callers, peers, ready, heartbeats, metrics])
+    }
+
+    fn start_on(name: &str, service: &str, store: SocketAddr, addresses: [SocketAddr; 5]) -> Vm {
+        let [callers, peers, ready, heartbeats, metrics] = addresses;
+        let server = SiteServer::start(&format!("i-{name}"), service).unwrap();
         let file =
             format!("shallottack-fleet-{}-{}.yaml", std::process::id(), FILES.fetch_add(1, SeqCst));
         let settings = std::env::temp_dir().join(file);
@@ -51,7 +58,7 @@
             .stdout(Stdio::null())
             .spawn()
             .unwrap();
-        let vm = Vm { child, server, callers, ready, heartbeats, settings };
+        let vm = Vm { child, server, callers, ready, heartbeats, peers, metrics, settings };
         eventually("the daemon takes heartbeats", || {
             vm.server.heartbeat(vm.heartbeats, "ready").is_ok_and(|it| it == 200)
         });
@@ -69,6 +76,14 @@
         exchange(self.ready, request, 1).is_ok_and(|it| it[0].status == 200)
     }
 
+    /// Returns the value of a metric, 0 when it has none yet.
+    fn metric(&self, name: &str) -> u64 {
+        let answer = exchange(self.metrics, "GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n", 1).unwrap();
+        let text = String::from_utf8(answer[0].body.clone()).unwrap();
+        let line = text.lines().find(|it| it.starts_with(name));
+        line.and_then(|it| it.rsplit(' ').next()?.parse().ok()).unwrap_or(0)
+    }
+
     fn signal(&self, signal: Signal) {
         let pid = Pid::from_child(&self.child);
         kill_process(pid, signal).unwrap();
@@ -271,3 +286,31 @@
         assert_eq!(shop.get("/count/1", &format!("c{number}")).status, 200);
     }
 }
+
+/// Guards against a VM whose address another one has now and that still gets requests, because the
+/// other one answers for it.
+#[test]
+fn vm_whose_address_is_used_again_is_forgotten() {
+    let (store, shop, mut stock) = fleet(&["stock-1"]);
+    let old = stock.remove(0);
+    let peers = old.peers;
+    old.signal(Signal::KILL);
+    drop(old);
+    let [callers, _, ready, heartbeats, metrics] = free_addresses();
+    let addresses = [callers, peers, ready, heartbeats, metrics];
+    let other = Vm::start_on("other-1", "other", store.address(), addresses);
+    let refused = "shallottack_refused_total{kind=\"no-endpoint\"}";
+    // The first refusal tells the caller's daemon; later requests are rejected there.
+    let mut ask = |number: u32| shop.get("/count/1", &format!("c{number}")).status;
+    let mut number = 0;
+    eventually("the other VM is asked", || {
+        number += 1;
+        assert_eq!(ask(number), 503);
+        other.metric(refused) > 0
+    });
+    let before = other.metric(refused);
+    for number in 1_000..1_040 {
+        assert_eq!(ask(number), 503);
+    }
+    assert!(other.metric(refused) <= before + 1, "{before} to {}", other.metric(refused));
+}
--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -335,9 +335,13 @@
     };
     match decode::<RunReply>(&frame.head) {
         Ok(reply) => {
-            node.heard_from(vm, reply.load);
+            if reply.vm != *vm {
+                // Another VM has the address now.
+                node.remove_member(vm);
+            }
+            node.heard_from(&reply.vm, reply.load);
             if reply.config > node.config_row() {
-                node.sync_soon(vm);
+                node.sync_soon(&reply.vm);
             }
             outcome(reply.end, call.body.len(), frame.body)
         }
--- a/crates/sidecar/src/message.rs
+++ b/crates/sidecar/src/message.rs
@@ -42,6 +42,8 @@
 /// Head of the answer to a [`RunRequest`]; the body of a response follows it.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct RunReply {
+    /// VM of the sender, which differs from the one that was meant when an address is used again.
+    pub vm: EndpointId,
     /// How the request ended.
     pub end: End,
     /// Load of the backend server.
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -29,7 +29,12 @@
         let request: RunRequest = decode(&frame.head)?;
         let _progress = InProgress::new(&self.0);
         let (end, body) = run(&self.0, request, frame.body).await;
-        let reply = RunReply { end, load: self.0.load(), config: self.0.config_row() };
+        let reply = RunReply {
+            vm: self.0.settings.vm.clone(),
+            end,
+            load: self.0.load(),
+            config: self.0.config_row(),
+        };
         Ok(Frame { protocol: PROTOCOL, head: encode(&reply).into(), body })
     }
 
