--- /dev/null
+++ b/crates/sidecar/tests/suite/events.rs
@@ -0,0 +1,154 @@
+//! Structured log.
+
+use std::{
+    io::{self, Write},
+    sync::{Arc, Mutex, mpsc},
+    time::{Duration, Instant},
+};
+
+use shallottack_fleet::{RolloutState, ServerState};
+use shallottack_kernel::EndpointId;
+use shallottack_sidecar::{Event, EventLog};
+
+/// Output that collects what is written.
+#[derive(Clone, Default)]
+struct Collected(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Collected {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Output whose reader takes nothing until the other end is dropped.
+struct Blocked(mpsc::Receiver<()>);
+
+impl Write for Blocked {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        // Ends with an error when the sender is dropped, which is the release.
+        let _ = self.0.recv();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against a changed field that on-call engineers and their tools rely on.
+#[test]
+fn lines_keep_their_form() {
+    let vm = EndpointId::new("vm-1").unwrap();
+    let id = "9c41";
+    let events = [
+        Event::Started { vm: "vm-1", zone: "a", service: "desk", incarnation: 5 },
+        Event::Config { version: 12, row: 7, routes: 3, source: "store" },
+        Event::Store { table: "op", state: "lost", reason: "no answer: timed out" },
+        Event::Peer { vm: "vm-2", state: "lost", reason: "cut" },
+        Event::Server {
+            id: "i-1",
+            state: ServerState::Draining,
+            version: "v1",
+            slots: 12,
+            reason: "heartbeat",
+        },
+        Event::Rollout {
+            service: "desk",
+            to: "v2",
+            state: RolloutState::RolledBack,
+            share: 0.07,
+            reason: "reported",
+        },
+        Event::Placed {
+            id,
+            route: "r",
+            config: 7,
+            vm: &vm,
+            send: 1,
+            may_wait: false,
+            running: 3,
+            queued: 0,
+            limit: 12,
+            age_ms: 20,
+            left_ms: 900,
+        },
+        Event::SendFailed { id, vm: &vm, outcome: "Cut".to_owned(), reason: "ping", ms: 700 },
+        Event::Admitted { id, waited_ms: 4, running: 12, queued: 2, limit: 12 },
+        Event::Refused {
+            id,
+            kind: "overloaded",
+            running: 12,
+            queued: 9,
+            limit: 12,
+            retry_after_ms: 50,
+            waited_ms: 0,
+        },
+        Event::Ran { id, outcome: "answered", status: 200, run_ms: 88, reason: "" },
+        Event::Answered {
+            id,
+            route: "r",
+            status: 200,
+            sends: 1,
+            arrivals: 1,
+            ms: 93,
+            goal_ms: 300,
+        },
+        Event::Rejected {
+            id,
+            route: "r",
+            kind: "overloaded",
+            status: 429,
+            ran: false,
+            reason: "full",
+            retry_after_ms: 90,
+            sends: 2,
+            arrivals: 0,
+            ms: 3,
+            config: 7,
+        },
+        Event::Cancelled { id, route: "r", ms: 40 },
+        Event::Stopped { unfinished: 0, waited_ms: 2_450 },
+    ];
+    let output = Collected::default();
+    let log = EventLog::start_on(output.clone());
+    events.iter().for_each(|it| log.write(it));
+    let end = Instant::now() + Duration::from_secs(5);
+    let lines = || String::from_utf8(output.0.lock().unwrap().clone()).unwrap();
+    while lines().lines().count() < events.len() {
+        assert!(Instant::now() < end, "the log's writer is too slow");
+        std::thread::yield_now();
+    }
+    let without_time: Vec<String> = lines()
+        .lines()
+        .map(|it| it.split_once(',').map_or(it, |(_, rest)| rest).to_owned())
+        .collect();
+    insta::assert_yaml_snapshot!(without_time);
+}
+
+/// Guards against a reader of the log that stops the daemon: a flood is counted instead.
+#[test]
+fn blocked_reader_does_not_stop_the_daemon() {
+    let (release, blocked) = mpsc::channel();
+    let log = EventLog::start_on(Blocked(blocked));
+    let began = Instant::now();
+    for _ in 0..50_000 {
+        log.write(&Event::Refused {
+            id: "r",
+            kind: "overloaded",
+            running: 1,
+            queued: 1,
+            limit: 1,
+            retry_after_ms: 1,
+            waited_ms: 1,
+        });
+    }
+    assert!(began.elapsed() < Duration::from_secs(5), "{:?}", began.elapsed());
+    // The count starts again with the report of each second.
+    assert!(log.dropped() > 40_000 || began.elapsed() > Duration::from_secs(1));
+    drop(release);
+}
--- /dev/null
+++ b/crates/sidecar/tests/suite/settings.rs
@@ -0,0 +1,72 @@
+//! Checked settings.
+
+use shallottack_sidecar::Settings;
+
+const GOOD: &str = r#"
+vm: vm-1
+data_centre: a
+service: desk
+backend: "127.0.0.1:8000"
+listen:
+  callers: "127.0.0.1:8001"
+  peers: "127.0.0.1:8002"
+  ready: "127.0.0.1:8003"
+  heartbeats: "127.0.0.1:8004"
+  metrics: "127.0.0.1:8005"
+store: "127.0.0.1:8006"
+heartbeat: 1500ms
+stop:
+  grace: 6s
+retries:
+  ratio: 0.2
+  extra: 62
+  window: 10s
+"#;
+
+/// Guards against settings that are wrong and only show later, under load.
+#[test]
+fn wrong_settings_are_named() {
+    assert!(Settings::parse(GOOD).is_ok());
+    let wrong = [
+        GOOD.replace("1500ms", "1500"),
+        GOOD.replace("grace: 6s", "grace: 6ms"),
+        GOOD.replace("ratio: 0.2", "ratio: 20"),
+        GOOD.replace(":8005", ":8001"),
+        GOOD.replace("service: desk", "service: \"\""),
+        GOOD.replace("store:", "stores:"),
+        GOOD.replace("window: 10s", "window: 0s"),
+    ];
+    let errors: Vec<String> =
+        wrong.iter().map(|it| Settings::parse(it).unwrap_err().to_string()).collect();
+    insta::assert_yaml_snapshot!(errors);
+}
+
+/// Guards against a template whose result the daemon can't read.
+#[test]
+fn deployed_template_has_every_setting() {
+    let template = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/settings.yaml");
+    let mut text = std::fs::read_to_string(template).unwrap();
+    let values = [
+        ("node_name", "vm-1"),
+        ("zone", "a"),
+        ("service", "desk"),
+        ("app_addr", "127.0.0.1:8000"),
+        ("listen.outbound", "127.0.0.1:8001"),
+        ("listen.inbound", "127.0.0.1:8002"),
+        ("listen.ready", "127.0.0.1:8003"),
+        ("listen.control", "127.0.0.1:8004"),
+        ("ip", "127.0.0.1"),
+        ("provider.address", "127.0.0.1:8006"),
+        ("heartbeat", "1500ms"),
+        ("bounds.grace", "6s"),
+        ("bounds.retry_budget_ratio", "0.2"),
+        ("bounds.retry_budget_extra", "62"),
+        ("bounds.budget_window", "10s"),
+    ];
+    for (name, value) in values {
+        text = text.replace(&format!("{{{{{name}}}}}"), value);
+    }
+    assert!(!text.contains("{{"), "{text}");
+    let settings = Settings::parse(&text).unwrap();
+    assert_eq!(settings.listen.metrics.port(), 9464);
+}
