--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,6 +5,7 @@
 mod connection;
 mod error;
 mod exchange;
+mod held;
 mod pool;
 mod serve;
 mod stream;
@@ -12,6 +13,7 @@
 pub use connection::Wire;
 pub use error::Error;
 pub use exchange::Answer;
+pub use held::{Held, hold};
 pub use pool::{Pool, PoolCounts, PoolSettings};
 pub use serve::{Limits, Serving, Stopped, Traffic, serve};
 
--- a/crates/rpc/src/fleet.rs
+++ b/crates/rpc/src/fleet.rs
@@ -12,19 +12,19 @@
 };
 
 use async_std::{
-    channel::{self, Sender},
     future::timeout,
     net::{TcpListener, TcpStream},
     task::{self, JoinHandle},
 };
 use async_trait::async_trait;
-use futures_lite::{StreamExt, future};
+use futures_lite::StreamExt;
 use hyper::{
     body::Incoming,
     client::conn::http2::{Builder as ClientBuilder, SendRequest},
     server::conn::http2::Builder as ServerBuilder,
     service::service_fn,
 };
+use shallottack_http::{Held, hold};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use tonic::{Request, Response, Status, body::Body};
 use tower_service::Service;
@@ -80,8 +80,7 @@
 #[derive(Clone)]
 struct Channel {
     sender: SendRequest<Body>,
-    /// Ends the connection's task when the last clone is dropped.
-    _stop: Sender<()>,
+    _connection: Held,
 }
 
 impl Service<http::Request<Body>> for Channel {
@@ -176,18 +175,7 @@
             .handshake(FuturesIo::new(stream))
             .await
             .map_err(unsent)?;
-        let (stop, stopped) = channel::bounded::<()>(1);
-        task::spawn(async move {
-            let run = async {
-                // An error of the connection reaches the calls that wait on it.
-                connection.await.ok();
-            };
-            let stop = async {
-                stopped.recv().await.ok();
-            };
-            future::or(run, stop).await;
-        });
-        let channel = Channel { sender, _stop: stop };
+        let channel = Channel { sender, _connection: hold(connection) };
         self.open().insert(to, channel.clone());
         Ok(channel)
     }
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -6,17 +6,12 @@
     time::{Duration, Instant},
 };
 
-use async_std::{
-    channel::{self, Sender},
-    future::timeout,
-    net::TcpStream,
-    task,
-};
+use async_std::{future::timeout, net::TcpStream};
 use bytes::Bytes;
-use futures_lite::future;
 use http::{HeaderMap, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{Builder, SendRequest};
+use shallottack_http::{Held, hold};
 use shallottack_kernel::EndpointId;
 use shallottack_site::headers;
 use smol_hyper::rt::FuturesIo;
@@ -89,7 +84,7 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     /// Closes the connection when it is dropped, which cancels a request in progress.
-    _stop: Sender<()>,
+    _held: Held,
 }
 
 struct Kept {
@@ -195,18 +190,7 @@
         let handshake = Builder::new().handshake(FuturesIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|it| it.to_string())?;
         metrics::counter!("shallottack_backend_connections_total").increment(1);
-        let (stop, stopped) = channel::bounded::<()>(1);
-        task::spawn(async move {
-            let run = async {
-                // An error of the connection reaches the request that waits on it.
-                connection.await.ok();
-            };
-            let stop = async {
-                stopped.recv().await.ok();
-            };
-            future::or(stop, run).await;
-        });
-        Ok(Connection { sender, _stop: stop })
+        Ok(Connection { sender, _held: hold(connection) })
     }
 
     fn judge(&self, id: &str, answer: Answer, connection: Connection, idle: Duration) -> Ended {
