--- a/crates/shallottackd/tests/suite/fleet.rs
+++ b/crates/shallottackd/tests/suite/fleet.rs
@@ -301,7 +301,7 @@
     let other = Vm::start_on("other-1", "other", store.address(), addresses);
     let refused = "shallottack_refused_total{kind=\"no-endpoint\"}";
     // The first refusal tells the caller's daemon; later requests are rejected there.
-    let mut ask = |number: u32| shop.get("/count/1", &format!("c{number}")).status;
+    let ask = |number: u32| shop.get("/count/1", &format!("c{number}")).status;
     let mut number = 0;
     eventually("the other VM is asked", || {
         number += 1;
