--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -7,7 +7,7 @@
 use std::{collections::BTreeMap, collections::HashMap, sync::Arc, time::Duration};
 
 use rand::{Rng, RngExt};
-use shallottack_kernel::{DataCentre, EndpointId, ErrorKind, ServiceName, Time};
+use shallottack_kernel::{DataCentre, EndpointId, ErrorKind, GroupName, Run, ServiceName, Time};
 
 use crate::{
     Ask, Attempt, Budget, Choice, Load, Member, Next, Outcome, Server, ServerState, Split,
@@ -245,12 +245,12 @@
         attempt: &mut Attempt,
     ) -> Choice {
         if ask.deadline <= now {
-            return self.reject(rng, ErrorKind::DeadlineUnmet, Duration::ZERO);
+            return self.reject(rng, ErrorKind::DeadlineUnmet, attempt, Duration::ZERO);
         }
         let (vm, free) = match self.best(now, rng, ask, attempt) {
             Best::Send { vm, free } => (vm, free),
-            Best::Full(wait) => return self.reject(rng, ErrorKind::Overloaded, wait),
-            Best::None => return self.reject(rng, ErrorKind::NoEndpoint, Duration::ZERO),
+            Best::Full(wait) => return self.reject(rng, ErrorKind::Overloaded, attempt, wait),
+            Best::None => return self.reject(rng, ErrorKind::NoEndpoint, attempt, Duration::ZERO),
         };
         attempt.sent += 1;
         attempt.tried.push(vm.clone());
@@ -327,15 +327,7 @@
                 (ErrorKind::DeadlineUnmet, Duration::ZERO)
             }
         };
-        let Choice::Reject { kind, retry_after } = self.reject(rng, kind, wait) else {
-            unreachable!("`reject` returns a rejection");
-        };
-        Next::Fail { kind: final_kind(kind, attempt), retry_after }
-    }
-
-    /// Returns the kind of error for a request that is rejected before another send.
-    pub fn final_kind(kind: ErrorKind, attempt: &Attempt) -> ErrorKind {
-        final_kind(kind, attempt)
+        Next::Fail { kind: final_kind(kind, attempt), retry_after: self.retry_after(rng, wait) }
     }
 
     fn may_repeat(&mut self, now: Time, ask: &Ask, attempt: &Attempt) -> bool {
@@ -451,13 +443,23 @@
         }
     }
 
-    /// Returns a rejection whose time to come back is spread, so that callers that are rejected
-    /// together do not return together.
-    fn reject(&self, rng: &mut dyn Rng, kind: ErrorKind, wait: Duration) -> Choice {
-        let (least, longest) = (self.settings.least_retry, self.settings.longest_retry);
+    /// Returns a rejection that is true for everything that happened to the request.
+    fn reject(
+        &self,
+        rng: &mut dyn Rng,
+        kind: ErrorKind,
+        attempt: &Attempt,
+        wait: Duration,
+    ) -> Choice {
+        let retry_after = self.retry_after(rng, wait);
+        Choice::Reject { kind: final_kind(kind, attempt), retry_after }
+    }
+
+    /// Returns the time after which a caller may come back, spread so that callers that are
+    /// rejected together do not return together.
+    fn retry_after(&self, rng: &mut dyn Rng, wait: Duration) -> Duration {
         let spread = 1.0 + rng.random::<f64>();
-        let retry_after = wait.max(least).mul_f64(spread).min(longest);
-        Choice::Reject { kind, retry_after }
+        wait.max(self.settings.least_retry).mul_f64(spread).min(self.settings.longest_retry)
     }
 }
 
@@ -508,14 +510,14 @@
 /// Returns the kind that is true for everything that happened to the request.
 fn final_kind(kind: ErrorKind, attempt: &Attempt) -> ErrorKind {
     match kind.answer().run {
-        shallottack_kernel::Run::No if attempt.ran => ErrorKind::OutcomeUnknown,
+        Run::No if attempt.ran => ErrorKind::OutcomeUnknown,
         _ => kind,
     }
 }
 
 impl Split {
     /// Returns whether a version may run the request.
-    fn allows(&self, group: &shallottack_kernel::GroupName) -> bool {
+    fn allows(&self, group: &GroupName) -> bool {
         match self {
             Split::Any => true,
             Split::Only(only) => group == only,
--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use shallottack_fleet::{Ask, Attempt, Choice, Match, Next, Outcome, Placement, Route, Split};
+use shallottack_fleet::{Ask, Attempt, Choice, Match, Next, Outcome, Route, Split};
 use shallottack_http::{ERROR_HEADER, RUN_HEADER};
 use shallottack_kernel::{EndpointId, ErrorKind, Run, ServiceName, Time};
 use shallottack_rpc::PeerError;
@@ -233,7 +233,6 @@
                 if let Some(failure) = failure {
                     return Ok(failure);
                 }
-                let kind = Placement::final_kind(kind, attempt);
                 let reason = if last.is_empty() { "no backend server to send to" } else { &last };
                 let reason = reason.to_owned();
                 return Err(Failed { kind, retry_after, reason, ran: attempt.ran });
