Derive what was kept twice in the fleet, and tell changes during an outage at once

Cause: a reading of the change as a newcomer. Found: the stop of the daemon was kept beside the description that states it; the number of daemons beside the members; a heartbeat repeated the fields of the server that it describes; the pause between failed store calls, the first run time, the wait and the shortest time to come back each stood twice; a run request carried a service that nobody read; an exchange was built with a version that stood for "nothing" or "everything". At the wrong depth: the description was told to other daemons only before the loop that writes it, so that changes during an outage of the store waited for its end or for the next exchange.

Change: each of these has one place; the loop tells each new description. The retry budget is divided by the daemons whose backend server is known rather than by all members.

Not covered by a test of its own: the telling during an outage, since exchanges bring it within a second in any case.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -20,7 +20,7 @@
     /// Address for other daemons.
     pub address: SocketAddr,
     /// Data centre of the VM.
-    pub zone: DataCentre,
+    pub data_centre: DataCentre,
     /// Whether the daemon is stopping.
     pub stopping: bool,
     /// The backend server, once it has said anything.
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     Ask, Attempt, Budget, Choice, Load, Member, Next, Outcome, Server, ServerState, Split,
+    slots::{FIRST_COST, LEAST_RETRY, WAIT_PART},
 };
 
 /// Figures of the placement.
@@ -54,20 +55,20 @@
 impl Default for PlacementSettings {
     fn default() -> Self {
         PlacementSettings {
-            first_cost: Duration::from_millis(100),
+            first_cost: FIRST_COST,
             weight: 0.08,
             remote_part: 0.15,
             remote_per_kb: 0.12,
             most_remote: 0.9,
             load_runs: 4.0,
-            wait_part: 0.5,
+            wait_part: WAIT_PART,
             cold_factor: 2.0,
             fill: 0.9,
             searches: 2,
             sends: 4,
             first_pause: Duration::from_millis(250),
             longest_pause: Duration::from_secs(2),
-            least_retry: Duration::from_millis(50),
+            least_retry: LEAST_RETRY,
             longest_retry: Duration::from_secs(1),
         }
     }
@@ -114,7 +115,6 @@
     /// Mean size of the requests and responses of each route in kilobytes.
     sizes: HashMap<Arc<str>, f64>,
     budget: Budget,
-    daemons: usize,
 }
 
 impl Placement {
@@ -133,7 +133,6 @@
             costs: HashMap::new(),
             sizes: HashMap::new(),
             budget,
-            daemons: 1,
         }
     }
 
@@ -181,11 +180,6 @@
         self.candidates.remove(vm);
     }
 
-    /// Sets the number of daemons among which the retry budget is divided.
-    pub fn set_daemons(&mut self, count: usize) {
-        self.daemons = count;
-    }
-
     /// Takes a report of load from the daemon of a VM. Returns whether it was unreachable before.
     pub fn heard(&mut self, now: Time, vm: &EndpointId, load: Load) -> bool {
         let Some(it) = self.candidates.get_mut(vm) else { return false };
@@ -341,7 +335,7 @@
             && attempt.sent < self.settings.sends
             && now + cost / 2 < ask.deadline
             && self.others(now, ask, attempt)
-            && self.budget.repeat(now, &ask.service, self.daemons)
+            && self.budget.repeat(now, &ask.service, self.candidates.len())
     }
 
     fn others(&self, now: Time, ask: &Ask, attempt: &Attempt) -> bool {
@@ -380,7 +374,7 @@
                 full = Some(full.map_or(wait, |other| other.min(wait)));
                 continue;
             }
-            let remote = it.member.zone != self.here;
+            let remote = it.member.data_centre != self.here;
             let away = if remote { remote_cost } else { 0.0 };
             let unproven = if it.reach == Reach::Up { 0.0 } else { goal };
             let tie = 1.0 + rng.random::<f64>() * 0.05;
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -20,18 +20,8 @@
 /// What a backend server says of itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Heartbeat {
-    /// Identifier of the backend server.
-    pub id: EndpointId,
-    /// Service that it runs.
-    pub service: ServiceName,
-    /// Version of its software.
-    pub group: GroupName,
-    /// Requests that it runs at once.
-    pub slots: u32,
-    /// Whether it takes new requests.
-    pub state: ServerState,
-    /// Time for which it stays slow after its start.
-    pub cold: Duration,
+    /// The backend server.
+    pub server: Server,
     /// Unix time of its start in milliseconds.
     pub born: u64,
     /// Number of the heartbeat within the incarnation.
@@ -89,14 +79,14 @@
     /// Takes a heartbeat.
     pub fn heartbeat(&mut self, now: Time, beat: &Heartbeat) -> Accepted {
         if let Some((id, born)) = &mut self.unheard
-            && *id == beat.id
+            && *id == beat.server.id
             // Without a stated start, the first incarnation that is heard of is the one that left.
             && beat.born <= *born.get_or_insert(beat.born)
         {
             return Accepted::Stale;
         }
         if let Some(known) = &mut self.known {
-            let same = known.server.id == beat.id;
+            let same = known.server.id == beat.server.id;
             if beat.born < known.born || (same && beat.born == known.born && known.left()) {
                 return Accepted::Stale;
             }
@@ -104,17 +94,14 @@
                 return known.update(now, beat);
             }
         }
-        let server = Server {
-            id: beat.id.clone(),
-            service: beat.service.clone(),
-            group: beat.group.clone(),
-            slots: beat.slots,
-            state: beat.state,
-            cold: beat.cold,
-        };
-        let drained = (beat.state != ServerState::Ready).then_some(now);
-        self.known =
-            Some(Known { server, born: beat.born, sequence: beat.sequence, heard: now, drained });
+        let drained = (beat.server.state != ServerState::Ready).then_some(now);
+        self.known = Some(Known {
+            server: beat.server.clone(),
+            born: beat.born,
+            sequence: beat.sequence,
+            heard: now,
+            drained,
+        });
         Accepted::Changed
     }
 
@@ -163,14 +150,14 @@
         }
         self.sequence = beat.sequence;
         self.heard = now;
-        self.server.cold = beat.cold;
-        let state = if self.drained.is_some() { ServerState::Draining } else { beat.state };
+        self.server.cold = beat.server.cold;
+        let state = if self.drained.is_some() { ServerState::Draining } else { beat.server.state };
         if state != ServerState::Ready {
             self.drained.get_or_insert(now);
         }
-        let changed = self.server.state != state || self.server.slots != beat.slots;
+        let changed = self.server.state != state || self.server.slots != beat.server.slots;
         self.server.state = state;
-        self.server.slots = beat.slots;
+        self.server.slots = beat.server.slots;
         if changed { Accepted::Changed } else { Accepted::Same }
     }
 }
--- a/crates/fleet/src/slots.rs
+++ b/crates/fleet/src/slots.rs
@@ -9,6 +9,15 @@
 use shallottack_kernel::{ErrorKind, Time};
 use smallvec::SmallVec;
 
+/// Run time assumed for a route without measurements, at the caller's daemon and at the slots; a
+/// typical run of the sites' requests.
+pub(crate) const FIRST_COST: Duration = Duration::from_millis(100);
+/// Part of the spare time to its goal for which a request may wait, at the caller's daemon and at
+/// the slots: starting later than that, it ends late about as often as not.
+pub(crate) const WAIT_PART: f64 = 0.5;
+/// Shortest time after which a rejected caller may come back; a few runs end in it.
+pub(crate) const LEAST_RETRY: Duration = Duration::from_millis(50);
+
 /// Identifies a request at the slots.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct TaskId(pub u64);
@@ -46,16 +55,16 @@
 impl Default for SlotsSettings {
     fn default() -> Self {
         SlotsSettings {
-            first_cost: Duration::from_millis(100),
+            first_cost: FIRST_COST,
             cost_weight: 0.05,
-            wait_part: 0.5,
+            wait_part: WAIT_PART,
             late_part: 0.25,
             safe_runs: 1.8,
             late_queue: 0.5,
             held_part: 0.4,
             work_window: Duration::from_millis(500),
             queued: 256,
-            least_retry: Duration::from_millis(50),
+            least_retry: LEAST_RETRY,
         }
     }
 }
@@ -162,7 +171,7 @@
     settings: SlotsSettings,
     limit: u32,
     running: HashMap<TaskId, Running>,
-    /// In the order in which they run.
+    /// In the order of their ranks at arrival, which change while they wait.
     queue: Vec<Waiting>,
     work: [Work; RANKS],
     /// Mean run time of each route in microseconds.
--- a/crates/fleet/tests/suite/fixture.rs
+++ b/crates/fleet/tests/suite/fixture.rs
@@ -31,37 +31,31 @@
     GroupName::new(text).unwrap()
 }
 
-pub fn beat(server: &str, born: u64, sequence: u64, state: ServerState) -> Heartbeat {
-    Heartbeat {
+fn ready(server: &str) -> Server {
+    Server {
         id: id(server),
         service: service("stock"),
         group: group("v1"),
         slots: 4,
-        state,
+        state: ServerState::Ready,
         cold: Duration::ZERO,
-        born,
-        sequence,
     }
 }
 
+pub fn beat(server: &str, born: u64, sequence: u64, state: ServerState) -> Heartbeat {
+    Heartbeat { server: Server { state, ..ready(server) }, born, sequence }
+}
+
 /// Member with a ready backend server `i-<vm>` of the service `stock`.
-pub fn member(vm: &str, zone: &str, sequence: u64) -> Member {
-    let server = Server {
-        id: id(&format!("i-{vm}")),
-        service: service("stock"),
-        group: group("v1"),
-        slots: 4,
-        state: ServerState::Ready,
-        cold: Duration::ZERO,
-    };
+pub fn member(vm: &str, data_centre: &str, sequence: u64) -> Member {
     Member {
         vm: id(vm),
         incarnation: 1,
         sequence,
         address: SocketAddr::from(([127, 0, 0, 1], 9000)),
-        zone: DataCentre::new(zone).unwrap(),
+        data_centre: DataCentre::new(data_centre).unwrap(),
         stopping: false,
-        server: Some(server),
+        server: Some(ready(&format!("i-{vm}"))),
     }
 }
 
--- a/crates/fleet/tests/suite/placement.rs
+++ b/crates/fleet/tests/suite/placement.rs
@@ -12,8 +12,8 @@
         Budget::new(BudgetSettings { ratio: 0.2, extra: 60.0, window: ms(10_000), used: 1.0 });
     let here = DataCentre::new("a").unwrap();
     let mut placement = Placement::new(PlacementSettings::default(), id("me"), here, budget);
-    for (vm, zone) in vms {
-        placement.set_member(at(0), &member(vm, zone, 1));
+    for (vm, data_centre) in vms {
+        placement.set_member(at(0), &member(vm, data_centre, 1));
         placement.heard(at(0), &id(vm), load(0, 0));
     }
     placement.count_request(at(0), &ask(at(0)).service);
--- a/crates/membership/tests/suite/traffic.rs
+++ b/crates/membership/tests/suite/traffic.rs
@@ -4,7 +4,7 @@
 
 use crate::driver::{Net, SEC, announcement};
 
-/// Allowance for the envelope and the framing of one message.
+/// Size of the envelope and the framing of one message.
 const ENVELOPE_BYTES: f64 = 100.0;
 
 /// Membership's share of the control traffic of a member.
--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -301,7 +301,6 @@
     let left = call.ask.deadline.since(now);
     let request = RunRequest {
         id: call.id.clone(),
-        service: call.service.clone(),
         server,
         caller: node.settings.service.clone(),
         route: Arc::clone(&call.route.name),
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -140,7 +140,7 @@
         ];
         node.events.write(&Event::Started {
             vm: node.settings.vm.as_str(),
-            zone: node.settings.data_centre.as_str(),
+            data_centre: node.settings.data_centre.as_str(),
             service: node.settings.service.as_str(),
             incarnation: node.cores().own.incarnation,
         });
--- a/crates/sidecar/src/events.rs
+++ b/crates/sidecar/src/events.rs
@@ -31,7 +31,7 @@
 pub enum Event<'a> {
     Started {
         vm: &'a str,
-        zone: &'a str,
+        data_centre: &'a str,
         service: &'a str,
         incarnation: u64,
     },
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -11,6 +11,7 @@
 };
 
 use crate::{
+    backoff::Backoff,
     events::Event,
     message::{Document, decode},
     node::Node,
@@ -23,10 +24,6 @@
 const CONFIG_WAIT: Duration = Duration::from_millis(1_500);
 /// Longest wait for a change of the members, which the daemons also tell each other.
 const MEMBERS_WAIT: Duration = Duration::from_secs(8);
-/// Pause after the first failed call; doubled up to the longest.
-const FIRST_PAUSE: Duration = Duration::from_millis(60);
-/// Longest pause between calls that fail: the entries have to be back two seconds after the store.
-const LONGEST_PAUSE: Duration = Duration::from_millis(700);
 /// Jitter of the first read after the start, so that daemons that start together spread.
 const START_JITTER_MS: u64 = 50;
 
@@ -63,7 +60,8 @@
     let store = Store::new(node.settings.store);
     let jitter = rand::rng().random_range(0..=START_JITTER_MS);
     task::sleep(Duration::from_millis(jitter)).await;
-    let mut follower = Follower { node, table, store, version: None, pause: FIRST_PAUSE, up: None };
+    let mut follower =
+        Follower { node, table, store, version: None, backoff: Backoff::new(), up: None };
     loop {
         if let Table::Status = table {
             follower.wait_for_rollout().await;
@@ -78,7 +76,7 @@
     store: Store,
     /// Version of the store up to which changes are known.
     version: Option<u64>,
-    pause: Duration,
+    backoff: Backoff,
     up: Option<bool>,
 }
 
@@ -97,16 +95,14 @@
             }
             Err(error) => {
                 self.note(false, &error.to_string());
-                let jitter = rand::rng().random_range(0.6..1.4);
-                task::sleep(self.pause.mul_f64(jitter)).await;
-                self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+                self.backoff.wait().await;
             }
         }
     }
 
     fn take(&mut self, rows: &Rows) {
         self.note(true, "");
-        self.pause = FIRST_PAUSE;
+        self.backoff = Backoff::new();
         for row in &rows.rows {
             match self.table {
                 Table::Operators => take_operators_row(&self.node, row),
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -6,6 +6,7 @@
 //! learns them as well.
 
 mod backend;
+mod backoff;
 mod callers;
 mod daemon;
 mod events;
--- a/crates/sidecar/src/message.rs
+++ b/crates/sidecar/src/message.rs
@@ -11,8 +11,6 @@
 pub struct RunRequest {
     /// Identifier that the caller gave the request.
     pub id: String,
-    /// Service that runs it.
-    pub service: ServiceName,
     /// Identifier of the backend server that is meant.
     pub server: EndpointId,
     /// Service on whose VM the request started.
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -4,7 +4,7 @@
     collections::{BTreeMap, HashMap},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::SeqCst},
+        atomic::{AtomicU64, AtomicUsize, Ordering::SeqCst},
     },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -85,7 +85,6 @@
     pub publish: (Sender<()>, Receiver<()>),
     current: ArcSwapOption<Current>,
     cores: Mutex<Cores>,
-    stopping: AtomicBool,
     tasks: AtomicU64,
 }
 
@@ -112,7 +111,7 @@
             incarnation: since_epoch.as_millis() as u64,
             sequence: 1,
             address: settings.listen.peers,
-            zone: settings.data_centre.clone(),
+            data_centre: settings.data_centre.clone(),
             stopping: false,
             server: None,
         };
@@ -138,7 +137,6 @@
             publish: bounded(1),
             current: ArcSwapOption::empty(),
             cores: Mutex::new(cores),
-            stopping: AtomicBool::new(false),
             tasks: AtomicU64::new(0),
         })
     }
@@ -165,12 +163,11 @@
 
     /// Returns whether the daemon stops.
     pub fn stopping(&self) -> bool {
-        self.stopping.load(SeqCst)
+        self.cores().own.stopping
     }
 
     /// Begins the stop: the daemon takes no new work and tells the others.
     pub fn begin_stop(&self) {
-        self.stopping.store(true, SeqCst);
         self.redescribe(|own| own.stopping = true);
     }
 
@@ -217,8 +214,6 @@
             return;
         }
         cores.placement.set_member(self.now(), member);
-        let daemons = cores.directory.len();
-        cores.placement.set_daemons(daemons);
         let server = member.server.as_ref();
         self.events.write(&Event::Member {
             vm: member.vm.as_str(),
@@ -235,8 +230,6 @@
         let mut cores = self.cores();
         if let Some(member) = cores.directory.remove(vm) {
             cores.placement.remove_member(vm);
-            let daemons = cores.directory.len();
-            cores.placement.set_daemons(daemons);
             self.peers.forget(member.address);
             self.events.write(&Event::Peer { vm: vm.as_str(), state: "removed", reason: "" });
         }
--- a/crates/sidecar/src/publish.rs
+++ b/crates/sidecar/src/publish.rs
@@ -1,25 +1,18 @@
 //! This daemon's own row in the store.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
-use async_std::task;
-use rand::RngExt;
 use shallottack_fleet::Member;
 use shallottack_site::store::{Store, StoreError, Written};
 
 use crate::{
+    backoff::Backoff,
     events::Event,
     follow::MEMBERS,
     message::{decode, encode},
     node::Node,
 };
 
-/// Pause after the first failed write; doubled up to the longest.
-const FIRST_PAUSE: Duration = Duration::from_millis(60);
-/// Longest pause between writes that fail: the entries have to be back two seconds after the
-/// store.
-const LONGEST_PAUSE: Duration = Duration::from_millis(700);
-
 /// Writes the daemon's description whenever it has changed, for ever.
 pub async fn publish(node: Arc<Node>) {
     let store = Store::new(node.settings.store);
@@ -28,7 +21,6 @@
         if node.publish.1.recv().await.is_err() {
             return;
         }
-        node.broadcast();
         row = write(&node, &store, row).await;
     }
 }
@@ -36,7 +28,7 @@
 /// Reads the row of an earlier daemon on this VM and raises the incarnation above it. Returns the
 /// version of the row.
 async fn restore(node: &Arc<Node>, store: &Store) -> u64 {
-    let mut pause = FIRST_PAUSE;
+    let mut backoff = Backoff::new();
     loop {
         match store.rows(MEMBERS).await {
             Ok(rows) => {
@@ -52,17 +44,23 @@
             }
             Err(error) => {
                 log::debug!("can't read the members: {error}");
-                pause = sleep(pause).await;
+                backoff.wait().await;
             }
         }
     }
 }
 
-/// Writes the present description; returns the version of the row.
+/// Tells the present description to the other daemons and writes it; returns the version of the
+/// row. Changes that come while the store does not take it are told at once as well.
 async fn write(node: &Arc<Node>, store: &Store, mut row: u64) -> u64 {
-    let mut pause = FIRST_PAUSE;
+    let mut backoff = Backoff::new();
+    let mut told = 0;
     loop {
         let own = node.cores().own.clone();
+        if own.sequence != told {
+            told = own.sequence;
+            node.broadcast();
+        }
         let left = own.stopping && own.server.is_none();
         let bytes = encode(&own);
         let value = (!left).then_some(bytes.as_slice());
@@ -77,14 +75,8 @@
                 if let StoreError::Refused(403 | 400) = error {
                     log::error!("the store does not take the description: {error}");
                 }
-                pause = sleep(pause).await;
+                backoff.wait().await;
             }
         }
     }
 }
-
-async fn sleep(pause: Duration) -> Duration {
-    let jitter = rand::rng().random_range(0.6..1.4);
-    task::sleep(pause.mul_f64(jitter)).await;
-    (pause * 2).min(LONGEST_PAUSE)
-}
--- a/crates/sidecar/src/sync.rs
+++ b/crates/sidecar/src/sync.rs
@@ -82,7 +82,7 @@
             let now = self.now();
             let (every, judged) = self.probe_every();
             for member in self.others() {
-                let remote = member.zone != self.settings.data_centre;
+                let remote = member.data_centre != self.settings.data_centre;
                 let every = if remote && !judged { every * REMOTE_FACTOR } else { every };
                 let due = self.cores().placement.probe_due(now, &member.vm, every);
                 if due {
@@ -109,7 +109,7 @@
     }
 
     async fn sync_with(self: Arc<Self>, member: &Member) {
-        let request = self.sync_request(0, Vec::new());
+        let request = self.sync_request(None, Vec::new());
         let Some(reply) = self.exchange(member, request).await else { return };
         if reply.own.vm != member.vm {
             // Another VM has the address now.
@@ -120,27 +120,21 @@
         if let Some(document) = &reply.document {
             self.offer_config(document, "peer");
         }
-        let lacks_config = reply.config < self.config_row();
+        let document = self.document_newer_than(reply.config);
         let members: Vec<Member> = {
             let cores = self.cores();
             let missing = |it: &&Member| !reply.members.contains(it);
             let differs = !reply.members.is_empty();
             cores.directory.members().filter(|it| differs && missing(it)).cloned().collect()
         };
-        if lacks_config || !members.is_empty() {
-            let row = if lacks_config { reply.config } else { u64::MAX };
-            let mut request = self.sync_request(row, members);
-            if !lacks_config {
-                request.document = None;
-            }
+        if document.is_some() || !members.is_empty() {
+            let request = self.sync_request(document, members);
             self.exchange(&reply.own, request).await;
         }
     }
 
-    /// Returns a request; `lacking` is the row version below which the receiver's configuration
-    /// is known to be, or 0 when nothing is known.
-    fn sync_request(&self, lacking: u64, members: Vec<Member>) -> SyncRequest {
-        let document = if lacking > 0 { self.document_newer_than(lacking) } else { None };
+    /// Returns a request with what the receiver is known to lack.
+    fn sync_request(&self, document: Option<Document>, members: Vec<Member>) -> SyncRequest {
         let config = self.config_row();
         let cores = self.cores();
         SyncRequest {
--- a/crates/sidecar/tests/suite/events.rs
+++ b/crates/sidecar/tests/suite/events.rs
@@ -46,7 +46,7 @@
     let vm = EndpointId::new("vm-1").unwrap();
     let id = "9c41";
     let events = [
-        Event::Started { vm: "vm-1", zone: "a", service: "desk", incarnation: 5 },
+        Event::Started { vm: "vm-1", data_centre: "a", service: "desk", incarnation: 5 },
         Event::Config { version: 12, row: 7, routes: 3, source: "store" },
         Event::Store { table: "op", state: "lost", reason: "no answer: timed out" },
         Event::Peer { vm: "vm-2", state: "lost", reason: "cut" },
