Let a source look for other data centres, and log joins, sources and leases

Cause: a daemon read the seed rows only while it knew nobody and was not the source of its data centre. One that became the source first never searched.

Ruled out: collisions of ports (all were open), an unreachable platform (the lease was written), lost timers (the stuck daemon renewed its lease).

--- a/crates/membership/src/core.rs
+++ b/crates/membership/src/core.rs
@@ -97,7 +97,7 @@
         match input {
             Input::Tick => self.tick(&mut cx),
             Input::Message { from, message } => self.receive(&mut cx, &from, message),
-            Input::Seeds { addresses } => self.set_seeds(now, addresses),
+            Input::Seeds { addresses } => self.set_seeds(&mut cx, addresses),
             Input::Announce(announcement) => self.announce(&mut cx, announcement),
             Input::Leave { callers } => self.leave(&mut cx, callers),
             Input::Stop => self.stop(&mut cx),
--- a/crates/membership/src/join.rs
+++ b/crates/membership/src/join.rs
@@ -1,6 +1,6 @@
 //! Joining through seeds.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use rand::{RngExt, seq::SliceRandom};
 use shallottack_kernel::{EndpointId, Time};
@@ -52,11 +52,25 @@
         self.join.done
     }
 
-    pub(crate) fn set_seeds(&mut self, now: Time, mut addresses: Vec<SocketAddr>) {
+    pub(crate) fn set_seeds(&mut self, cx: &mut Context<'_>, mut addresses: Vec<SocketAddr>) {
         addresses.retain(|it| *it != self.identity.addresses.peers);
         self.join.untried.clear();
         self.join.seeds = addresses;
-        self.join.next = self.join.next.max(now);
+        self.join.next = self.join.next.max(cx.now);
+        if self.join.done {
+            self.compare_with_unknown_seeds(cx);
+        }
+    }
+
+    /// Compares with the seeds that are no members. They may belong to a group of daemons that
+    /// started apart, to which nothing else leads.
+    fn compare_with_unknown_seeds(&mut self, cx: &mut Context<'_>) {
+        let known: BTreeSet<SocketAddr> =
+            self.table.entries().map(|it| it.record.addresses.peers).collect();
+        let body = Body::Digests { digests: self.table.digests() };
+        for seed in self.join.seeds.clone().into_iter().filter(|it| !known.contains(it)) {
+            self.send_seed(cx, seed, body.clone());
+        }
     }
 
     pub(crate) fn check_join(&mut self, cx: &mut Context<'_>) {
--- a/crates/membership/tests/suite/spread.rs
+++ b/crates/membership/tests/suite/spread.rs
@@ -4,7 +4,7 @@
 
 use shallottack_membership::{Action, Announcement, Body, Input, State};
 
-use crate::driver::{Net, SEC, announcement};
+use crate::driver::{Net, SEC, WALL_CLOCK, announcement};
 
 /// Guards against a leaving endpoint that still receives new work: it is known everywhere within
 /// 2 s at 100 members (R8).
@@ -93,3 +93,26 @@
     let Body::Summaries { buckets, more, .. } = message.body else { panic!("{message:?}") };
     assert!(buckets.count_ones() == 8 && more, "buckets are bounded and the rest announced");
 }
+
+/// Guards against two groups of daemons that started apart and never hear of each other: the
+/// address of one member of the other group suffices, however late it comes.
+#[test]
+fn late_seed_joins_two_groups() {
+    let mut net = Net::new(3, &[("medina", 2), ("lac", 2)]);
+    for node in 0..4 {
+        net.nodes[node].island = u32::from(node >= 2);
+        net.start(node, WALL_CLOCK);
+        let partner = net.nodes[node ^ 1].identity.addresses.peers;
+        net.input(node, Input::Seeds { addresses: vec![partner] });
+    }
+    net.run(60 * SEC);
+    for node in &mut net.nodes {
+        node.island = 0;
+    }
+    net.run(60 * SEC);
+    assert_eq!(net.state(0, 2), None, "the groups already know each other");
+    let seed = net.nodes[2].identity.addresses.peers;
+    net.input(0, Input::Seeds { addresses: vec![seed] });
+    let took = net.until(5 * SEC, |net| net.agreed(State::Ready));
+    assert!(took.is_some(), "the groups do not know each other after 5 s");
+}
--- a/crates/shallottackd/src/mesh/mod.rs
+++ b/crates/shallottackd/src/mesh/mod.rs
@@ -1,5 +1,6 @@
 //! Runs the distribution and membership cores: feeds them inputs and carries out their actions.
 
+mod beliefs;
 mod outbox;
 mod store;
 mod tasks;
@@ -24,9 +25,9 @@
 use shallottack_platform::Platform;
 use shallottack_rpc::{Envelope, Handler, PROTOCOL, Peers, Traffic};
 
-use self::outbox::Outbox;
 pub(crate) use self::store::translate;
 pub use self::store::{Store, StoreError};
+use self::{beliefs::Beliefs, outbox::Outbox};
 
 /// Time for which changes of members are collected before the peer list and the routing tables
 /// are rebuilt; a restart of many daemons brings thousands of changes within seconds.
@@ -49,6 +50,7 @@
     rebuild_at: Option<Time>,
     changed_services: BTreeSet<ServiceName>,
     report: Option<Report>,
+    beliefs: Beliefs,
 }
 
 /// What a mesh service is made of.
@@ -116,6 +118,7 @@
             rebuild_at: None,
             changed_services: BTreeSet::new(),
             report: None,
+            beliefs: Beliefs::default(),
         };
         Arc::new(Mesh {
             me,
@@ -286,6 +289,7 @@
                 }
             }
             outbox.resolve(&cores.membership);
+            cores.log_beliefs(&self.me, self.clock.now());
             if let Some(report) = outbox.report.take() {
                 cores.report = Some(report);
             }
@@ -360,6 +364,17 @@
 }
 
 impl Cores {
+    /// Logs what has changed since the last call.
+    fn log_beliefs(&mut self, me: &Peer, now: Time) {
+        let beliefs = Beliefs {
+            joined: self.membership.has_joined(),
+            source: self.distribution.source().cloned(),
+            leads: self.distribution.is_source(now),
+        };
+        beliefs.log_changes(&self.beliefs, me);
+        self.beliefs = beliefs;
+    }
+
     fn note_change(&mut self, now: Time, member: &Member) {
         self.changed_services.insert(member.service.clone());
         self.rebuild_at.get_or_insert(now + REBUILD_DELAY);
--- a/crates/shallottackd/src/mesh/store.rs
+++ b/crates/shallottackd/src/mesh/store.rs
@@ -1,6 +1,13 @@
 //! Versions, leases and seeds in the platform's table and object store.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    fmt::Display,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
 
 use shallottack_config::{
     Catalog, Delta, Version,
@@ -75,11 +82,13 @@
 /// Versions, leases and seeds in the platform.
 pub struct Store {
     platform: Arc<dyn Platform>,
+    /// The last lease or head request had no answer.
+    failing: AtomicBool,
 }
 
 impl Store {
     pub(super) fn new(platform: Arc<dyn Platform>) -> Store {
-        Store { platform }
+        Store { platform, failing: AtomicBool::new(false) }
     }
 
     /// Returns the platform.
@@ -99,7 +108,7 @@
     }
 
     pub(super) async fn observe_head(&self) -> Result<Option<ObservedHead>, Unavailable> {
-        let read = self.read_head().await.map_err(|_| Unavailable)?;
+        let read = self.noted("head read", self.read_head().await)?;
         Ok(read.map(|it| ObservedHead { version: it.head.version }))
     }
 
@@ -107,9 +116,9 @@
         &self,
         data_centre: &DataCentre,
     ) -> Result<Option<ObservedLease>, Unavailable> {
-        let row = self.platform.read(&lease_key(data_centre)).await.map_err(|_| Unavailable)?;
-        let Some(row) = row else { return Ok(None) };
-        let value: LeaseRow = serde_json::from_slice(&row.value).map_err(|_| Unavailable)?;
+        let row = self.platform.read(&lease_key(data_centre)).await;
+        let Some(row) = self.noted("lease read", row)? else { return Ok(None) };
+        let value = self.noted("lease read", serde_json::from_slice::<LeaseRow>(&row.value))?;
         Ok(Some(ObservedLease { revision: row.revision, row: value }))
     }
 
@@ -125,7 +134,29 @@
         match self.platform.commit(transaction).await {
             Ok(()) => LeaseOutcome::Committed,
             Err(CommitError::Conflict { .. }) => LeaseOutcome::Conflict,
-            Err(CommitError::Unavailable(_) | CommitError::Unknown(_)) => LeaseOutcome::Unconfirmed,
+            Err(error @ (CommitError::Unavailable(_) | CommitError::Unknown(_))) => {
+                log::warn!(error = error.to_string(); "lease write not confirmed");
+                LeaseOutcome::Unconfirmed
+            }
+        }
+    }
+
+    /// Logs the first failure of a series and the first success after it.
+    fn noted<T, E: Display>(&self, call: &str, result: Result<T, E>) -> Result<T, Unavailable> {
+        let failing = self.failing.swap(result.is_err(), Ordering::Relaxed);
+        match result {
+            Ok(value) => {
+                if failing {
+                    log::info!(call; "platform answers again");
+                }
+                Ok(value)
+            }
+            Err(error) => {
+                if !failing {
+                    log::warn!(call, error = error.to_string(); "platform does not answer");
+                }
+                Err(Unavailable)
+            }
         }
     }
 
--- a/crates/shallottackd/tests/suite/mesh.rs
+++ b/crates/shallottackd/tests/suite/mesh.rs
@@ -9,9 +9,13 @@
 };
 
 use async_std::task::{block_on, sleep};
+use async_trait::async_trait;
 use shallottack_http::{Answer, Error, Pool, PoolSettings};
 use shallottack_kernel::{GroupName, ServiceName};
-use shallottack_platform::{Faults, MemoryPlatform};
+use shallottack_platform::{
+    CommitError, Faults, MemoryPlatform, ObjectError, ObjectStore, ReadError, Row, Table,
+    Transaction,
+};
 use shallottack_standins::{Backend, BackendSettings};
 use shallottackd::{Daemon, Running, Settings, commits::Commits, mesh::Mesh};
 use tide::http::{Method, Request, Url};
@@ -269,3 +273,82 @@
         mesh.wait_in_force(2).await;
     });
 }
+
+/// Platform that does not list rows while `blind` is set.
+struct BlindPlatform {
+    inner: MemoryPlatform,
+    blind: Arc<AtomicBool>,
+}
+
+#[async_trait]
+impl Table for BlindPlatform {
+    async fn read(&self, key: &str) -> Result<Option<Row>, ReadError> {
+        self.inner.read(key).await
+    }
+
+    async fn scan(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<Row>, ReadError> {
+        if self.blind.load(Ordering::SeqCst) {
+            return Err(ReadError("rows are not listed".to_owned()));
+        }
+        self.inner.scan(prefix, after, limit).await
+    }
+
+    async fn commit(&self, transaction: Transaction) -> Result<(), CommitError> {
+        self.inner.commit(transaction).await
+    }
+}
+
+#[async_trait]
+impl ObjectStore for BlindPlatform {
+    async fn get(&self, name: &str) -> Result<Vec<u8>, ObjectError> {
+        self.inner.get(name).await
+    }
+
+    async fn put(&self, name: &str, body: Vec<u8>) -> Result<(), ObjectError> {
+        self.inner.put(name, body).await
+    }
+
+    async fn delete(&self, name: &str) -> Result<(), ObjectError> {
+        self.inner.delete(name).await
+    }
+}
+
+/// Guards against a source that became one before it knew another member and never looks for any:
+/// its data centre stays cut off from the others.
+#[test]
+fn sources_that_started_alone_find_each_other() {
+    block_on(async {
+        let platform = MemoryPlatform::new();
+        let blind = Arc::new(AtomicBool::new(true));
+        let (mut daemons, mut backends) = (Vec::new(), Vec::new());
+        for data_centre in ["medina", "lac"] {
+            let text = settings(&format!("sponsor-desk-{data_centre}"));
+            let text = text.split("embedded:").next().unwrap();
+            let text = text.replace("data_centre: medina", &format!("data_centre: {data_centre}"));
+            let bound = Daemon::bind(Settings::parse("test.yaml", &text).unwrap()).await.unwrap();
+            let platform = BlindPlatform { inner: platform.clone(), blind: Arc::clone(&blind) };
+            let daemon = bound.start_on(Arc::new(platform)).await.unwrap();
+            let service = ServiceName::new("sponsor-desk").unwrap();
+            let mut backend = BackendSettings::new(service, GroupName::new("v1").unwrap());
+            backend.announce = Some(daemon.addresses().announce);
+            backends.push(Backend::start(backend).await.unwrap());
+            daemons.push(daemon);
+        }
+        let meshes: Vec<Arc<Mesh>> =
+            daemons.iter().map(|it| it.registry().lookup::<Mesh>(Mesh::NAME).unwrap()).collect();
+        for mesh in &meshes {
+            eventually("the daemon is the source", || async {
+                mesh.report().is_some().then_some(())
+            })
+            .await;
+        }
+        blind.store(false, Ordering::SeqCst);
+        for (mesh, other) in [(0, "sponsor-desk-lac"), (1, "sponsor-desk-medina")] {
+            let other = other.parse().unwrap();
+            eventually("the source knows the other one", || async {
+                meshes[mesh].member(&other).map(drop)
+            })
+            .await;
+        }
+    });
+}
