Exchange only the members among which two directories differ

Cause: daemons compared one digest of all members and sent every description when it differed.

Change: digests of 32 buckets, and only the members of differing buckets are sent. A change of a daemon is told without a comparison.

Test: one_change_exchanges_few_descriptions.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -8,6 +8,12 @@
 
 use crate::Server;
 
+/// Buckets of members that are compared; with 110 members, one bucket holds some four.
+const BUCKETS: usize = 32;
+
+/// Digest of the descriptions in one bucket.
+pub type Digest = u32;
+
 /// A daemon and the backend server beside it, as it described them itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
@@ -32,12 +38,16 @@
         (self.incarnation, self.sequence)
     }
 
-    fn digest(&self) -> u64 {
+    fn digest(&self) -> Digest {
         let (incarnation, sequence) = self.order();
         let mut bytes = self.vm.as_str().as_bytes().to_vec();
         bytes.extend(incarnation.to_le_bytes());
         bytes.extend(sequence.to_le_bytes());
-        xxh3_64(&bytes)
+        xxh3_64(&bytes) as Digest
+    }
+
+    fn bucket(&self) -> usize {
+        xxh3_64(self.vm.as_str().as_bytes()) as usize % BUCKETS
     }
 }
 
@@ -58,7 +68,7 @@
     members: BTreeMap<EndpointId, Member>,
     /// Order of descriptions whose member was removed; older ones do not bring it back.
     removed: BTreeMap<EndpointId, (u64, u64)>,
-    digest: u64,
+    digests: [Digest; BUCKETS],
 }
 
 impl Directory {
@@ -73,12 +83,12 @@
         }
         let merged = match before {
             Some(before) => {
-                self.digest ^= before.digest();
+                self.digests[before.bucket()] ^= before.digest();
                 Merge::Newer
             }
             None => Merge::New,
         };
-        self.digest ^= member.digest();
+        self.digests[member.bucket()] ^= member.digest();
         self.members.insert(member.vm.clone(), member.clone());
         merged
     }
@@ -86,7 +96,7 @@
     /// Removes a member that is known to have ended.
     pub fn remove(&mut self, vm: &EndpointId) -> Option<Member> {
         let member = self.members.remove(vm)?;
-        self.digest ^= member.digest();
+        self.digests[member.bucket()] ^= member.digest();
         self.removed.insert(vm.clone(), member.order());
         Some(member)
     }
@@ -111,8 +121,19 @@
         self.members.is_empty()
     }
 
-    /// Returns a number that is equal for equal directories.
-    pub fn digest(&self) -> u64 {
-        self.digest
+    /// Returns one digest for each bucket of members; equal directories have equal ones.
+    pub fn digests(&self) -> &[Digest] {
+        &self.digests
+    }
+
+    /// Returns the members of the buckets in which a directory with these digests differs; none
+    /// when there are no digests.
+    pub fn differing(&self, digests: &[Digest]) -> impl Iterator<Item = &Member> {
+        let comparable = digests.len() == BUCKETS;
+        let differs = move |it: &&Member| {
+            let bucket = it.bucket();
+            comparable && digests[bucket] != self.digests[bucket]
+        };
+        self.members.values().filter(differs)
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,7 +17,7 @@
 pub use attempt::{Ask, Attempt, Choice, Next, Outcome};
 pub use budget::{Budget, BudgetSettings};
 pub use configuration::{Configuration, Limits, Match, Route, Target};
-pub use directory::{Directory, Member, Merge};
+pub use directory::{Digest, Directory, Member, Merge};
 pub use placement::{Placement, PlacementSettings};
 pub use rollout::{
     Counts, Evidence, Judgement, Order, Rollout, RolloutSettings, RolloutState, Side, Split, Step,
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -207,6 +207,11 @@
         was_up
     }
 
+    /// Returns whether the daemon of a VM has ever been heard from directly.
+    pub fn is_proven(&self, vm: &EndpointId) -> bool {
+        self.candidates.get(vm).is_some_and(|it| it.reach != Reach::Unproven)
+    }
+
     /// Returns whether the daemon of a VM should be asked whether it is there.
     pub fn probe_due(&self, now: Time, vm: &EndpointId, every: Duration) -> bool {
         match self.candidates.get(vm) {
--- a/crates/fleet/tests/suite/directory.rs
+++ b/crates/fleet/tests/suite/directory.rs
@@ -26,6 +26,22 @@
     assert_eq!(directory.merge(&member("vm-1", "a", 3)), Merge::New);
 }
 
+/// Guards against one changed description that makes two large fleets' daemons exchange all.
+#[test]
+fn one_change_exchanges_few_descriptions() {
+    let all: Vec<Member> = (0..110).map(|it| member(&format!("vm-{it}"), "a", 1)).collect();
+    let (mut one, mut two) = (Directory::default(), Directory::default());
+    for it in &all {
+        one.merge(it);
+        two.merge(it);
+    }
+    two.merge(&member("vm-7", "a", 2));
+    let sent: Vec<&Member> = two.differing(one.digests()).collect();
+    assert!(sent.contains(&&member("vm-7", "a", 2)));
+    assert!(sent.len() <= all.len() / 8, "{} of {} descriptions", sent.len(), all.len());
+    assert_eq!(two.differing(&[]).count(), 0);
+}
+
 proptest! {
     /// Guards against daemons that hear the same in another order and differ for ever.
     #[test]
@@ -44,7 +60,8 @@
         let (mut one, mut two) = (Directory::default(), Directory::default());
         order.iter().for_each(|it| { one.merge(&describe(it)); });
         shuffled.iter().for_each(|it| { two.merge(&describe(it)); });
-        prop_assert_eq!(one.digest(), two.digest());
+        prop_assert_eq!(one.digests(), two.digests());
+        prop_assert_eq!(one.differing(two.digests()).count(), 0);
         prop_assert!(one.members().eq(two.members()));
     }
 }
--- a/crates/sidecar/src/message.rs
+++ b/crates/sidecar/src/message.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
-use shallottack_fleet::{Evidence, Load, Member};
+use shallottack_fleet::{Digest, Evidence, Load, Member};
 use shallottack_kernel::{EndpointId, ErrorKind, ServiceName};
 
 /// Head of a request on its way to the daemon beside the backend server; the body follows it.
@@ -95,13 +95,13 @@
     pub load: Load,
     /// Row version of its configuration, 0 for none.
     pub config: u64,
-    /// Digest of its directory.
-    pub digest: u64,
+    /// Digests of its directory; empty when the directories are not to be compared.
+    pub digests: Vec<Digest>,
     /// Counts of the rollouts in progress.
     pub evidence: Vec<Evidence>,
     /// Configuration that the receiver is known to lack.
     pub document: Option<Document>,
-    /// Members, when the receiver's directory is known to differ.
+    /// Members that the receiver is known to lack.
     pub members: Vec<Member>,
 }
 
@@ -116,8 +116,10 @@
     pub config: u64,
     /// Configuration that the receiver lacks.
     pub document: Option<Document>,
-    /// Members, when the directories differ.
+    /// Members among which the directories differ.
     pub members: Vec<Member>,
+    /// Digests of the sender's directory, when they differ from the receiver's.
+    pub digests: Vec<Digest>,
 }
 
 /// Encodes a message.
--- a/crates/sidecar/src/sync.rs
+++ b/crates/sidecar/src/sync.rs
@@ -41,11 +41,12 @@
         let document = self.document_newer_than(request.config);
         let config = self.config_row();
         let cores = self.cores();
-        let differs = cores.directory.digest() != request.digest;
-        let members =
-            if differs { cores.directory.members().cloned().collect() } else { Vec::new() };
+        let members = cores.directory.differing(&request.digests).cloned().collect();
         let load = cores.load(self.now());
-        SyncReply { own: cores.own.clone(), load, config, document, members }
+        let own_digests = cores.directory.digests();
+        let differs = !request.digests.is_empty() && own_digests != request.digests;
+        let digests = if differs { own_digests.to_vec() } else { Vec::new() };
+        SyncReply { own: cores.own.clone(), load, config, document, members, digests }
     }
 
     /// Takes a report of load from another daemon.
@@ -67,10 +68,9 @@
 
     /// Tells all other daemons how this one describes itself now.
     pub fn broadcast(self: &Arc<Self>) {
-        let members: Vec<Member> = self.others();
-        for member in members {
+        for member in self.others() {
             let node = Arc::clone(self);
-            task::spawn(async move { node.sync_with(&member).await });
+            task::spawn(async move { node.tell(&member).await });
         }
     }
 
@@ -85,9 +85,16 @@
                 let remote = member.data_centre != self.settings.data_centre;
                 let every = if remote && !judged { every * REMOTE_FACTOR } else { every };
                 let due = self.cores().placement.probe_due(now, &member.vm, every);
+                let proven = self.cores().placement.is_proven(&member.vm);
                 if due {
                     let node = Arc::clone(&self);
-                    task::spawn(async move { node.sync_with(&member).await });
+                    task::spawn(async move {
+                        if proven {
+                            node.sync_with(&member).await;
+                        } else {
+                            node.tell(&member).await;
+                        }
+                    });
                 }
             }
         }
@@ -108,48 +115,60 @@
         cores.directory.members().filter(|it| it.vm != *me).cloned().collect()
     }
 
-    async fn sync_with(self: Arc<Self>, member: &Member) {
-        let request = self.sync_request(None, Vec::new());
-        let Some(reply) = self.exchange(member, request).await else { return };
-        if reply.own.vm != member.vm {
-            // Another VM has the address now.
-            self.remove_member(&member.vm);
-        }
-        self.take_members(&reply.own, &reply.members);
-        self.heard_from(&reply.own.vm, reply.load);
-        if let Some(document) = &reply.document {
-            self.offer_config(document, "peer");
+    /// Tells another daemon about this one without a comparison of members, which may differ
+    /// widely while many daemons start.
+    async fn tell(&self, member: &Member) {
+        let request = SyncRequest { digests: Vec::new(), ..self.sync_request() };
+        if let Some(reply) = self.exchange(member, request).await {
+            self.take_reply(member, &reply);
         }
+    }
+
+    async fn sync_with(&self, member: &Member) {
+        let Some(reply) = self.exchange(member, self.sync_request()).await else { return };
+        self.take_reply(member, &reply);
         let document = self.document_newer_than(reply.config);
         let members: Vec<Member> = {
             let cores = self.cores();
             let missing = |it: &&Member| !reply.members.contains(it);
-            let differs = !reply.members.is_empty();
-            cores.directory.members().filter(|it| differs && missing(it)).cloned().collect()
+            cores.directory.differing(&reply.digests).filter(missing).cloned().collect()
         };
         if document.is_some() || !members.is_empty() {
-            let request = self.sync_request(document, members);
+            let digests = Vec::new();
+            let request = SyncRequest { document, members, digests, ..self.sync_request() };
             self.exchange(&reply.own, request).await;
         }
     }
 
-    /// Returns a request with what the receiver is known to lack.
-    fn sync_request(&self, document: Option<Document>, members: Vec<Member>) -> SyncRequest {
+    fn take_reply(&self, asked: &Member, reply: &SyncReply) {
+        if reply.own.vm != asked.vm {
+            // Another VM has the address now.
+            self.remove_member(&asked.vm);
+        }
+        self.take_members(&reply.own, &reply.members);
+        self.heard_from(&reply.own.vm, reply.load);
+        if let Some(document) = &reply.document {
+            self.offer_config(document, "peer");
+        }
+    }
+
+    /// Returns a request that tells what this daemon is and holds.
+    fn sync_request(&self) -> SyncRequest {
         let config = self.config_row();
         let cores = self.cores();
         SyncRequest {
             own: cores.own.clone(),
             load: cores.load(self.now()),
             config,
-            digest: cores.directory.digest(),
+            digests: cores.directory.digests().to_vec(),
             evidence: cores
                 .rollouts
                 .values()
                 .filter(|it| it.state() == RolloutState::Running)
                 .map(|it| it.evidence().clone())
                 .collect(),
-            document,
-            members,
+            document: None,
+            members: Vec::new(),
         }
     }
 
