--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -339,7 +339,7 @@
             }
             node.heard_from(&reply.vm, reply.load);
             if reply.config > node.config_row() {
-                node.sync_soon(&reply.vm);
+                node.fetch_config(&reply.vm);
             }
             outcome(reply.end, call.body.len(), frame.body)
         }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -38,6 +38,8 @@
     pub configuration: Configuration,
     /// The same as it lies in the store.
     pub document: Document,
+    /// Time since which it is in force.
+    pub since: Time,
 }
 
 /// Answer to a request that waits for a slot.
@@ -63,6 +65,8 @@
     pub rollouts: BTreeMap<ServiceName, Rollout>,
     /// This daemon as it describes itself.
     pub own: Member,
+    /// Time of the last exchange because another daemon has a newer configuration.
+    pub fetched: Option<Time>,
     waiters: HashMap<TaskId, Sender<Turn>>,
     backend_down: Option<Time>,
 }
@@ -124,6 +128,7 @@
             slots: Slots::new(SlotsSettings::default()),
             rollouts: BTreeMap::new(),
             own,
+            fetched: None,
             waiters: HashMap::new(),
             backend_down: None,
         };
@@ -195,7 +200,8 @@
                     source,
                 });
                 metrics::gauge!("shallottack_config_row").set(configuration.row as f64);
-                let current = Current { configuration, document: document.clone() };
+                let current =
+                    Current { configuration, document: document.clone(), since: self.now() };
                 self.current.store(Some(Arc::new(current)));
             }
             Err(reason) => {
--- a/crates/sidecar/src/sync.rs
+++ b/crates/sidecar/src/sync.rs
@@ -26,6 +26,13 @@
 const REMOTE_FACTOR: u32 = 3;
 /// The same while a rollout is judged, so that all daemons judge the same counts.
 const ROLLOUT_EVERY: Duration = Duration::from_millis(500);
+/// Time for which a configuration is in force before it is sent to daemons with an older one, which
+/// mostly get it from the store meanwhile. A sixth of the shortest time within which it has to be in
+/// force everywhere.
+const DOCUMENT_AGE: Duration = Duration::from_millis(400);
+/// Shortest time between exchanges because another daemon has a newer configuration; half of
+/// `DOCUMENT_AGE`.
+const FETCH_EVERY: Duration = Duration::from_millis(200);
 /// Time for one exchange; a VM at a fifth of its speed still answers.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -57,9 +64,18 @@
         }
     }
 
-    /// Exchanges with a daemon that is known to hold something newer.
-    pub fn sync_soon(self: &Arc<Self>, vm: &EndpointId) {
-        let member = self.cores().directory.get(vm).cloned();
+    /// Exchanges with a daemon that is known to have a newer configuration, unless that was done a
+    /// moment ago.
+    pub fn fetch_config(self: &Arc<Self>, vm: &EndpointId) {
+        let now = self.now();
+        let member = {
+            let mut cores = self.cores();
+            if cores.fetched.is_some_and(|it| now.since(it) < FETCH_EVERY) {
+                return;
+            }
+            cores.fetched = Some(now);
+            cores.directory.get(vm).cloned()
+        };
         if let Some(member) = member {
             let node = Arc::clone(self);
             task::spawn(async move { node.sync_with(&member).await });
@@ -205,6 +221,7 @@
 
     fn document_newer_than(&self, row: u64) -> Option<Document> {
         let current = self.current()?;
-        (current.document.row > row).then(|| current.document.clone())
+        let ripe = self.now().since(current.since) >= DOCUMENT_AGE;
+        (ripe && current.document.row > row).then(|| current.document.clone())
     }
 }
