Call the store less often in series of changes and in large fleets

Change: a pause of 0.4 s (configuration) or 2 s (members, of which daemons tell each other) after a change joins a series into one call; the wait for a change grows with the fleet up to five times, since exchanges with more daemons tell of a newer configuration.

--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -24,6 +24,16 @@
 const CONFIG_WAIT: Duration = Duration::from_millis(1_500);
 /// Longest wait for a change of the members, which the daemons also tell each other.
 const MEMBERS_WAIT: Duration = Duration::from_secs(8);
+/// Fleet up to whose size `CONFIG_WAIT` holds, in daemons. In larger ones more exchanges with other
+/// daemons tell of a newer configuration, so that the wait grows with the size.
+const SMALL_FLEET: f64 = 12.0;
+/// Largest factor by which the wait grows.
+const MOST_WAIT_FACTOR: f64 = 5.0;
+/// Pause after a change of the configuration, which joins a series of changes into one call. A
+/// sixth of the shortest time within which a configuration has to be in force.
+const CONFIG_PAUSE: Duration = Duration::from_millis(400);
+/// The same for the members: daemons tell each other of their changes themselves.
+const MEMBERS_PAUSE: Duration = Duration::from_secs(2);
 /// Jitter of the first read after the start, so that daemons that start together spread.
 const START_JITTER_MS: u64 = 50;
 
@@ -47,12 +57,21 @@
         }
     }
 
-    fn wait(self) -> Duration {
+    fn wait(self, daemons: usize) -> Duration {
         match self {
-            Table::Operators | Table::Status => CONFIG_WAIT,
+            Table::Operators | Table::Status => {
+                CONFIG_WAIT.mul_f64((daemons as f64 / SMALL_FLEET).clamp(1.0, MOST_WAIT_FACTOR))
+            }
             Table::Members => MEMBERS_WAIT,
         }
     }
+
+    fn pause(self) -> Duration {
+        match self {
+            Table::Operators | Table::Status => CONFIG_PAUSE,
+            Table::Members => MEMBERS_PAUSE,
+        }
+    }
 }
 
 /// Follows `table` for ever.
@@ -85,10 +104,19 @@
         let name = self.table.name();
         let read = match self.version {
             None => self.store.rows(name).await,
-            Some(version) => self.store.changes(name, version, self.table.wait()).await,
+            Some(version) => {
+                let daemons = self.node.cores().directory.len();
+                self.store.changes(name, version, self.table.wait(daemons)).await
+            }
         };
+        let follows = self.version.is_some();
         match read {
-            Ok(rows) => self.take(&rows),
+            Ok(rows) => {
+                self.take(&rows);
+                if follows && !rows.rows.is_empty() {
+                    task::sleep(self.table.pause()).await;
+                }
+            }
             Err(StoreError::Compacted) => {
                 self.version = None;
                 self.note(true, "history is gone");
