Pool the counts of a rollout in large fleets

Cause: counts of answers travelled only in requests that a daemon began, and each pair of 110 daemons exchanged every 9 s, far more than the 5 s within which a bad version has to be taken back.

Change: replies carry the counts as well; while a rollout is judged each daemon begins up to 60 exchanges a second instead of 12; the wait before a report grows with the fleet, and a report that another daemon has made meanwhile is not repeated.

--- a/crates/sidecar/src/message.rs
+++ b/crates/sidecar/src/message.rs
@@ -114,6 +114,8 @@
     pub load: Load,
     /// Row version of its configuration, 0 for none.
     pub config: u64,
+    /// Counts of the rollouts in progress.
+    pub evidence: Vec<Evidence>,
     /// Configuration that the receiver lacks.
     pub document: Option<Document>,
     /// Members among which the directories differ.
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -12,8 +12,8 @@
 use arc_swap::ArcSwapOption;
 use async_std::channel::{Receiver, Sender, bounded};
 use shallottack_fleet::{
-    Budget, BudgetSettings, Configuration, Directory, Load, LocalServer, Member, Merge, Placement,
-    PlacementSettings, Rollout, Slots, SlotsSettings, TaskId, Wake,
+    Budget, BudgetSettings, Configuration, Directory, Evidence, Load, LocalServer, Member, Merge,
+    Placement, PlacementSettings, Rollout, RolloutState, Slots, SlotsSettings, TaskId, Wake,
 };
 use shallottack_kernel::{Clock, EndpointId, ServiceName, SystemClock, Time};
 use shallottack_rpc::FleetPeers;
@@ -294,6 +294,12 @@
 }
 
 impl Cores {
+    /// Returns the counts of the rollouts in progress.
+    pub fn evidence(&self) -> Vec<Evidence> {
+        let running = self.rollouts.values().filter(|it| it.state() == RolloutState::Running);
+        running.map(|it| it.evidence().clone()).collect()
+    }
+
     /// Registers a request that waits for a slot.
     pub fn wait_for(&mut self, task: TaskId) -> Receiver<Turn> {
         let (sender, receiver) = bounded(1);
--- a/crates/sidecar/src/rollouts.rs
+++ b/crates/sidecar/src/rollouts.rs
@@ -15,8 +15,12 @@
 
 /// Time between looks at the rollouts.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
-/// Longest random wait before a report, so that one daemon mostly reports for all.
-const REPORT_JITTER_MS: u64 = 150;
+/// Longest random wait before a report for each daemon of the fleet, so that one mostly reports for
+/// all: one report takes two calls of the store of some 4 ms each.
+const REPORT_JITTER_MS: u64 = 12;
+/// Longest random wait in fleets of any size; a fifth of the time within which a bad version has to
+/// be taken back.
+const MOST_JITTER_MS: u64 = 1_000;
 
 impl Node {
     /// Takes an order.
@@ -61,8 +65,14 @@
     loop {
         task::sleep(LOOK_EVERY).await;
         for (order, state) in due(&node) {
-            let jitter = rand::rng().random_range(0..=REPORT_JITTER_MS);
-            task::sleep(Duration::from_millis(jitter)).await;
+            let daemons = node.cores().directory.len() as u64;
+            let jitter = (REPORT_JITTER_MS * daemons).min(MOST_JITTER_MS);
+            let pause = rand::rng().random_range(0..=jitter);
+            task::sleep(Duration::from_millis(pause)).await;
+            // Another daemon may have reported meanwhile.
+            if !due(&node).iter().any(|it| it.0 == order && it.1 == state) {
+                continue;
+            }
             if let Err(reason) = write(&node, &store, &order, state).await {
                 log::warn!("can't report the rollout of {}: {reason}", order.service);
             }
--- a/crates/sidecar/src/sync.rs
+++ b/crates/sidecar/src/sync.rs
@@ -19,6 +19,9 @@
 /// Exchanges that this daemon begins in a second, over all others; bounds the traffic of large
 /// fleets to that of small ones.
 const EXCHANGES_PER_S: f64 = 12.0;
+/// The same while a rollout is judged: every pair of 110 daemons exchanges counts about once a
+/// second, a fifth of the time in which a bad version has to be taken back.
+const JUDGED_PER_S: f64 = 60.0;
 /// Shortest time between exchanges with a daemon that answers.
 const LEAST_EVERY: Duration = Duration::from_millis(800);
 /// Factor of that time for daemons of other data centres, where bytes cost more and fewer requests
@@ -53,7 +56,8 @@
         let own_digests = cores.directory.digests();
         let differs = !request.digests.is_empty() && own_digests != request.digests;
         let digests = if differs { own_digests.to_vec() } else { Vec::new() };
-        SyncReply { own: cores.own.clone(), load, config, document, members, digests }
+        let evidence = cores.evidence();
+        SyncReply { own: cores.own.clone(), load, config, evidence, document, members, digests }
     }
 
     /// Takes a report of load from another daemon.
@@ -121,7 +125,8 @@
         let cores = self.cores();
         let judged = cores.rollouts.values().any(|it| it.state() == RolloutState::Running);
         let least = if judged { ROLLOUT_EVERY } else { LEAST_EVERY };
-        let fair = Duration::from_secs_f64(cores.directory.len() as f64 / EXCHANGES_PER_S);
+        let rate = if judged { JUDGED_PER_S } else { EXCHANGES_PER_S };
+        let fair = Duration::from_secs_f64(cores.directory.len() as f64 / rate);
         (least.max(fair), judged)
     }
 
@@ -163,6 +168,7 @@
         }
         self.take_members(&reply.own, &reply.members);
         self.heard_from(&reply.own.vm, reply.load);
+        self.hear_evidence(&reply.own, &reply.evidence);
         if let Some(document) = &reply.document {
             self.offer_config(document, "peer");
         }
@@ -177,12 +183,7 @@
             load: cores.load(self.now()),
             config,
             digests: cores.directory.digests().to_vec(),
-            evidence: cores
-                .rollouts
-                .values()
-                .filter(|it| it.state() == RolloutState::Running)
-                .map(|it| it.evidence().clone())
-                .collect(),
+            evidence: cores.evidence(),
             document: None,
             members: Vec::new(),
         }
