Ask each daemon one question at a time, and pace what is told to all

Cause: every look, four times a second, asked all daemons that had not answered yet again.

Ruled out: the store (98 of 110 daemons had the same version within 0.2 s), the longer wait for changes (these daemons had no feed yet).

Test: daemon_is_not_asked_again_while_it_may_still_answer.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -42,6 +42,9 @@
     pub searches: u8,
     /// Most sends of one request; each takes a round trip between VMs.
     pub sends: u8,
+    /// Time after which a VM is asked again that has neither answered nor failed; longer than any
+    /// exchange takes.
+    pub ask_again: Duration,
     /// First pause after a VM could not be reached; doubled up to `longest_pause`.
     pub first_pause: Duration,
     /// Longest pause before a VM is tried again.
@@ -66,6 +69,7 @@
             fill: 0.9,
             searches: 2,
             sends: 4,
+            ask_again: Duration::from_secs(2),
             first_pause: Duration::from_millis(250),
             longest_pause: Duration::from_secs(2),
             least_retry: LEAST_RETRY,
@@ -92,6 +96,8 @@
     reach: Reach,
     load: Load,
     heard: Time,
+    /// Time of the question that is neither answered nor given up.
+    asked: Option<Time>,
     /// Requests sent and not ended.
     pending: u32,
     /// Requests sent since the load was reported.
@@ -164,6 +170,7 @@
                     reach: if own { Reach::Up } else { Reach::Unproven },
                     load: fresh_load(server),
                     heard: now,
+                    asked: None,
                     pending: 0,
                     since: 0,
                     speed: 1.0,
@@ -187,6 +194,7 @@
         it.reach = Reach::Up;
         it.load = load;
         it.heard = now;
+        it.asked = None;
         it.since = 0;
         regained
     }
@@ -197,6 +205,7 @@
         let Some(it) = self.candidates.get_mut(vm).filter(|it| it.member.vm != self.me) else {
             return false;
         };
+        it.asked = None;
         let (was_up, pause) = match it.reach {
             Reach::Down { again, .. } if now < again => return false,
             Reach::Down { pause, .. } => (false, (pause * 2).min(longest)),
@@ -212,16 +221,22 @@
         self.candidates.get(vm).is_some_and(|it| it.reach != Reach::Unproven)
     }
 
-    /// Returns whether the daemon of a VM should be asked whether it is there.
-    pub fn probe_due(&self, now: Time, vm: &EndpointId, every: Duration) -> bool {
-        match self.candidates.get(vm) {
-            None => true,
-            Some(it) => match it.reach {
-                Reach::Up => now.since(it.heard) >= every,
-                Reach::Unproven => true,
-                Reach::Down { again, .. } => now >= again,
-            },
+    /// Returns whether the daemon of a VM is to be asked now whether it is there, and notes that it
+    /// is. Daemons without a backend server are not asked, since no request goes there.
+    pub fn probe_due(&mut self, now: Time, vm: &EndpointId, every: Duration) -> bool {
+        let Some(it) = self.candidates.get_mut(vm) else { return false };
+        if it.asked.is_some_and(|asked| now.since(asked) < self.settings.ask_again) {
+            return false;
+        }
+        let due = match it.reach {
+            Reach::Up => now.since(it.heard) >= every,
+            Reach::Unproven => true,
+            Reach::Down { again, .. } => now >= again,
+        };
+        if due {
+            it.asked = Some(now);
         }
+        due
     }
 
     /// Counts a request of a caller in the retry budget of its service.
--- a/crates/fleet/tests/suite/placement.rs
+++ b/crates/fleet/tests/suite/placement.rs
@@ -161,3 +161,17 @@
     }
     assert!(counts[1] * 5 < counts[0], "{counts:?}");
 }
+
+/// Guards against a slow daemon that asks all others again at every look, before they can answer,
+/// and so never catches up.
+#[test]
+fn daemon_is_not_asked_again_while_it_may_still_answer() {
+    let mut placement = placement(&[("vm-1", "a")]);
+    let vm = id("vm-1");
+    assert!(placement.probe_due(at(1_000), &vm, ms(1_000)));
+    assert!(!placement.probe_due(at(1_250), &vm, ms(1_000)));
+    placement.heard(at(1_300), &vm, load(0, 0));
+    assert!(!placement.probe_due(at(1_500), &vm, ms(1_000)));
+    assert!(placement.probe_due(at(2_300), &vm, ms(1_000)));
+    assert!(placement.probe_due(at(4_300), &vm, ms(1_000)), "a lost answer blocks for ever");
+}
--- a/crates/sidecar/src/sync.rs
+++ b/crates/sidecar/src/sync.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use async_std::task;
-use rand::RngExt;
+use rand::{RngExt, seq::SliceRandom};
 use shallottack_fleet::{Evidence, Load, Member, RolloutState};
 use shallottack_kernel::EndpointId;
 use shallottack_rpc::PeerError;
@@ -16,6 +16,11 @@
 
 /// Time between looks at which daemons have to be asked.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
+/// Exchanges that this daemon begins at one look, enough for `JUDGED_PER_S`. A daemon that starts
+/// has to reach all others, on a tenth of a core and a link of 10 Mbit/s.
+const MOST_PER_LOOK: usize = 16;
+/// Pause between two daemons that are told of a change, for the same reason.
+const TELL_PAUSE: Duration = Duration::from_millis(4);
 /// Exchanges that this daemon begins in a second, over all others; bounds the traffic of large
 /// fleets to that of small ones.
 const EXCHANGES_PER_S: f64 = 12.0;
@@ -88,10 +93,14 @@
 
     /// Tells all other daemons how this one describes itself now.
     pub fn broadcast(self: &Arc<Self>) {
-        for member in self.others() {
-            let node = Arc::clone(self);
-            task::spawn(async move { node.tell(&member).await });
-        }
+        let node = Arc::clone(self);
+        task::spawn(async move {
+            for member in node.others() {
+                let teller = Arc::clone(&node);
+                task::spawn(async move { teller.tell(&member).await });
+                task::sleep(TELL_PAUSE).await;
+            }
+        });
     }
 
     /// Asks daemons that have said nothing for some time, for ever.
@@ -101,25 +110,27 @@
             task::sleep(LOOK_EVERY.mul_f64(jitter)).await;
             let now = self.now();
             let (every, judged) = self.probe_every();
-            for member in self.others() {
-                let remote = member.data_centre != self.settings.data_centre;
+            let mut others = self.others();
+            others.shuffle(&mut rand::rng());
+            let due = others.into_iter().filter(|it| {
+                let remote = it.data_centre != self.settings.data_centre;
                 let every = if remote && !judged { every * REMOTE_FACTOR } else { every };
-                let due = self.cores().placement.probe_due(now, &member.vm, every);
-                let proven = self.cores().placement.is_proven(&member.vm);
-                if due {
-                    let node = Arc::clone(&self);
-                    task::spawn(async move {
-                        if proven {
-                            node.sync_with(&member).await;
-                        } else {
-                            node.tell(&member).await;
-                        }
-                    });
-                }
+                self.cores().placement.probe_due(now, &it.vm, every)
+            });
+            for member in due.take(MOST_PER_LOOK) {
+                task::spawn(Arc::clone(&self).ask(member));
             }
         }
     }
 
+    async fn ask(self: Arc<Self>, member: Member) {
+        if self.cores().placement.is_proven(&member.vm) {
+            self.sync_with(&member).await;
+        } else {
+            self.tell(&member).await;
+        }
+    }
+
     /// Returns the time between exchanges with one daemon, and whether a rollout is judged.
     fn probe_every(&self) -> (Duration, bool) {
         let cores = self.cores();
