Explain a request from the logs of a fleet

Adds `shallottack explain ID [LOG...]`: it joins the lines of a request and of the calls that it made over the logs of several daemons, by time, and prints the outcome and the last failure before it, or JSON. Lines that daemons left out and lines that can't be read are counted.

Ruled out: a service that collects logs, since none of the VMs is set aside.

--- a/crates/shallottack/src/cmd/mod.rs
+++ b/crates/shallottack/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 mod classes;
 mod diff;
 mod drain;
+mod explain;
 mod status;
 
 use gumdrop::Options;
@@ -29,6 +30,8 @@
     Drain(drain::Arguments),
     #[options(help = "check a configuration file without a daemon")]
     Check(check::Arguments),
+    #[options(help = "show the path of a request through the logs of a fleet")]
+    Explain(explain::Arguments),
 }
 
 impl Command {
@@ -40,6 +43,7 @@
             Command::Classes(_) => classes::run(options).await,
             Command::Drain(_) => drain::run(options).await,
             Command::Check(arguments) => check::run(&arguments, options),
+            Command::Explain(arguments) => explain::run(&arguments, options),
         }
     }
 }
--- a/crates/shallottack/src/main.rs
+++ b/crates/shallottack/src/main.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod cmd;
+mod explain;
 mod file;
 mod output;
 
@@ -16,6 +17,7 @@
   shallottack apply mesh.yaml --wait
   shallottack status --json
   shallottack check mesh.yaml
+  shallottack explain 6fd2ee13f755b860 lac-1.log medina-2.log
 
 The daemon's operators address comes from --daemon or SHALLOTTACK_DAEMON (default 127.0.0.1:8083),
 the token from --token-file or SHALLOTTACK_TOKEN.
--- /dev/null
+++ b/crates/shallottack/tests/suite/explain.rs
@@ -0,0 +1,43 @@
+//! `explain`: path and cause of a request from the logs of several daemons.
+
+use std::process::{Command, Output};
+
+fn explain(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_shallottack"))
+        .current_dir(concat!(env!("CARGO_MANIFEST_DIR"), "/tests/suite/logs"))
+        .arg("explain")
+        .args(arguments)
+        .output()
+        .unwrap()
+}
+
+fn text(output: &Output) -> &str {
+    std::str::from_utf8(&output.stdout).unwrap()
+}
+
+/// Guards against lines of another request, a wrong order over several logs, and a rejection that
+/// is not led back to the refusal behind it.
+#[test]
+fn rejection_is_led_back_to_the_refusal() {
+    let output = explain(&["6fd2", "medina-1.log", "lac-1.log"]);
+    assert_eq!(output.status.code(), Some(0));
+    insta::assert_snapshot!(text(&output));
+}
+
+/// Guards against a cause that is invented for a request that was answered.
+#[test]
+fn answered_request_has_no_cause() {
+    let output = explain(&["77aa", "medina-1.log", "lac-1.log", "--json"]);
+    assert_eq!(output.status.code(), Some(0));
+    insta::assert_snapshot!(text(&output));
+}
+
+/// Guards against silence on an unknown request or a log that can't be read.
+#[test]
+fn unknown_request_and_missing_log_are_told() {
+    let output = explain(&["ffff", "medina-1.log"]);
+    assert_eq!((output.status.code(), text(&output)), (Some(1), "no line of request ffff\n"));
+    let output = explain(&["6fd2", "absent.log"]);
+    assert_ne!(output.status.code(), Some(0));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("absent.log"));
+}
--- /dev/null
+++ b/crates/shallottack/tests/suite/main.rs
@@ -0,0 +1,3 @@
+//! The client as operators run it.
+
+mod explain;
