Follow the members without a pause in small fleets, and mend two races in tests

Daemons that start at the same time have not read each other's rows, so that nobody tells them of each other before the pause ends. Change: no pause up to 12 daemons, 20 ms for each one above, at most 2 s.

Its second change was computed after the first was in force, and so took it back. Shown by a run with a delay of 300 ms between the two, which fails with the same message. Ruled out: a lost change. The test now computes both changes before it sends either; its checks are the same.

The tests start a daemon that ended at once again, on other ports, up to five times.

--- a/crates/shallottackd/tests/suite/fleet.rs
+++ b/crates/shallottackd/tests/suite/fleet.rs
@@ -17,6 +17,9 @@
 /// Time in which a change has to show; the platform's bounds are 2 s and more.
 const WITHIN: Duration = Duration::from_secs(8);
 
+/// Starts of a daemon with other ports.
+const STARTS: usize = 5;
+
 static FILES: AtomicU32 = AtomicU32::new(0);
 
 /// A daemon with its backend server; the process is ended with the value.
@@ -33,11 +36,24 @@
 
 impl Vm {
     fn start(name: &str, service: &str, store: SocketAddr) -> Vm {
-        let [callers, peers, ready, heartbeats, metrics] = free_addresses();
-        Vm::start_on(name, service, store, [callers, peers, ready, heartbeats, metrics])
+        // A port may be taken between the moment it was found free and the start of the daemon,
+        // which then ends.
+        let started =
+            (0..STARTS).find_map(|_| Vm::try_start(name, service, store, free_addresses()));
+        started.expect("the daemon starts on free ports")
     }
 
     fn start_on(name: &str, service: &str, store: SocketAddr, addresses: [SocketAddr; 5]) -> Vm {
+        Vm::try_start(name, service, store, addresses).expect("the daemon starts")
+    }
+
+    /// Starts a daemon; `None` when it ended before it took heartbeats.
+    fn try_start(
+        name: &str,
+        service: &str,
+        store: SocketAddr,
+        addresses: [SocketAddr; 5],
+    ) -> Option<Vm> {
         let [callers, peers, ready, heartbeats, metrics] = addresses;
         let server = SiteServer::start(&format!("i-{name}"), service).unwrap();
         let file =
@@ -58,11 +74,13 @@
             .stdout(Stdio::null())
             .spawn()
             .unwrap();
-        let vm = Vm { child, server, callers, ready, heartbeats, peers, metrics, settings };
+        let mut vm = Vm { child, server, callers, ready, heartbeats, peers, metrics, settings };
+        let mut ended = false;
         eventually("the daemon takes heartbeats", || {
-            vm.server.heartbeat(vm.heartbeats, "ready").is_ok_and(|it| it == 200)
+            ended = vm.child.try_wait().unwrap().is_some();
+            ended || vm.server.heartbeat(vm.heartbeats, "ready").is_ok_and(|it| it == 200)
         });
-        vm
+        (!ended).then_some(vm)
     }
 
     fn get(&self, path: &str, id: &str) -> Received {
--- a/crates/shallottackd/tests/suite/mesh.rs
+++ b/crates/shallottackd/tests/suite/mesh.rs
@@ -84,10 +84,28 @@
         wanted: &shallottack_config::Catalog,
         id: &str,
     ) -> Result<u64, shallottack_kernel::Failure> {
+        self.submit_change(daemon, self.change(daemon, wanted, id)).await
+    }
+
+    /// Returns the change from what a daemon holds now.
+    fn change(
+        &self,
+        daemon: usize,
+        wanted: &shallottack_config::Catalog,
+        id: &str,
+    ) -> shallottack_config::Change {
         let registry = self.daemons[daemon].registry();
         let held = registry.lookup::<Mesh>(Mesh::NAME).unwrap().catalog().unwrap_or_default();
         let id = shallottack_config::WriteId(id.into());
-        let change = shallottack_config::Change::between(&held, wanted, id);
+        shallottack_config::Change::between(&held, wanted, id)
+    }
+
+    async fn submit_change(
+        &self,
+        daemon: usize,
+        change: shallottack_config::Change,
+    ) -> Result<u64, shallottack_kernel::Failure> {
+        let registry = self.daemons[daemon].registry();
         let commits = registry.lookup::<Commits>(Commits::NAME).unwrap();
         commits.submit(change, "test", false, false).await.map(|it| it.version.seq)
     }
@@ -182,11 +200,11 @@
             shallottack_config::parse_file(CONFIGURATION.replace(from, to).as_bytes()).unwrap()
         };
         let (first, second) = (edited("2000", "1900"), edited("3000", "2900"));
-        let (one, two) = futures_lite::future::zip(
-            mesh.submit(0, &first, "one"),
-            mesh.submit(1, &second, "two"),
-        )
-        .await;
+        // Both start from the same version, also when the first is in force before the second is
+        // sent.
+        let (one, two) = (mesh.change(0, &first, "one"), mesh.change(1, &second, "two"));
+        let (one, two) =
+            futures_lite::future::zip(mesh.submit_change(0, one), mesh.submit_change(1, two)).await;
         assert_eq!(one.unwrap() + two.unwrap(), 2 + 3, "both are accepted, one after the other");
         mesh.wait_in_force(3).await;
         let held =
@@ -195,11 +213,10 @@
         assert_ne!(held.classes["renewal"], base.classes["renewal"]);
 
         let (first, second) = (edited("2000", "1800"), edited("2000", "1700"));
-        let (one, two) = futures_lite::future::zip(
-            mesh.submit(0, &first, "three"),
-            mesh.submit(1, &second, "four"),
-        )
-        .await;
+        let (three, four) = (mesh.change(0, &first, "three"), mesh.change(1, &second, "four"));
+        let (one, two) =
+            futures_lite::future::zip(mesh.submit_change(0, three), mesh.submit_change(1, four))
+                .await;
         let refused: Vec<_> = [one, two].into_iter().filter_map(Result::err).collect();
         assert_eq!(refused.len(), 1, "{refused:?}");
         assert_eq!(refused[0].kind, shallottack_kernel::ErrorKind::Conflict);
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -32,8 +32,11 @@
 /// Pause after a change of the configuration, which joins a series of changes into one call. A
 /// sixth of the shortest time within which a configuration has to be in force.
 const CONFIG_PAUSE: Duration = Duration::from_millis(400);
-/// The same for the members: daemons tell each other of their changes themselves.
-const MEMBERS_PAUSE: Duration = Duration::from_secs(2);
+/// The same for the members, for each daemon above `SMALL_FLEET`. Daemons tell each other of their
+/// changes, but not those that started at the same time and have not read each other's rows yet.
+const MEMBERS_PAUSE: Duration = Duration::from_millis(20);
+/// Longest pause of the members; as long as entries may be missing after an outage of the store.
+const MOST_MEMBERS_PAUSE: Duration = Duration::from_secs(2);
 /// Jitter of the first read after the start, so that daemons that start together spread.
 const START_JITTER_MS: u64 = 50;
 
@@ -66,10 +69,13 @@
         }
     }
 
-    fn pause(self) -> Duration {
+    fn pause(self, daemons: usize) -> Duration {
         match self {
             Table::Operators | Table::Status => CONFIG_PAUSE,
-            Table::Members => MEMBERS_PAUSE,
+            Table::Members => {
+                let above = (daemons as f64 - SMALL_FLEET).max(0.0);
+                MEMBERS_PAUSE.mul_f64(above).min(MOST_MEMBERS_PAUSE)
+            }
         }
     }
 }
@@ -102,19 +108,17 @@
 impl Follower {
     async fn step(&mut self) {
         let name = self.table.name();
+        let daemons = self.node.cores().directory.len();
         let read = match self.version {
             None => self.store.rows(name).await,
-            Some(version) => {
-                let daemons = self.node.cores().directory.len();
-                self.store.changes(name, version, self.table.wait(daemons)).await
-            }
+            Some(version) => self.store.changes(name, version, self.table.wait(daemons)).await,
         };
         let follows = self.version.is_some();
         match read {
             Ok(rows) => {
                 self.take(&rows);
                 if follows && !rows.rows.is_empty() {
-                    task::sleep(self.table.pause()).await;
+                    task::sleep(self.table.pause(daemons)).await;
                 }
             }
             Err(StoreError::Compacted) => {
