Read settings files in one place, and make comments say what the code does

Change: new crate `shallottack-settings` with the error, `load` and `parse`; both daemons state only their checks.

No decision of a daemon changes.

--- a/crates/bench/examples/starts.rs
+++ b/crates/bench/examples/starts.rs
@@ -1,26 +1,34 @@
 //! Starts a deployment again and again and measures the time until its configuration is in force.
 
-use std::{path::PathBuf, process::ExitCode, time::Instant};
+use std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+    time::{Duration, Instant},
+};
 
+use gumdrop::Options;
 use shallottack_bench::cluster::{Cluster, Description};
 
-/// Time that the processes get to stop after each start.
-const STOP_LIMIT: std::time::Duration = std::time::Duration::from_secs(10);
+/// Time that the processes get to stop after each start; far more than they take.
+const STOP_LIMIT: Duration = Duration::from_secs(10);
+
+/// Measures the time until the configuration of a new deployment is in force.
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "description of the deployment", default = "examples/bench/four.yaml")]
+    deployment: PathBuf,
+    #[options(help = "starts", default = "30")]
+    count: usize,
+}
 
 fn main() -> ExitCode {
-    let mut arguments = std::env::args().skip(1);
-    let (Some(deployment), Some(count)) = (arguments.next(), arguments.next()) else {
-        eprintln!("usage: starts DEPLOYMENT COUNT");
-        return ExitCode::from(2);
-    };
-    let Ok(count) = count.parse::<usize>() else {
-        eprintln!("starts: the count is not a number");
-        return ExitCode::from(2);
-    };
-    match async_std::task::block_on(starts(PathBuf::from(deployment), count)) {
+    let arguments = Arguments::parse_args_default_or_exit();
+    match async_std::task::block_on(starts(&arguments.deployment, arguments.count)) {
         Ok(0) => ExitCode::SUCCESS,
         Ok(failed) => {
-            println!("{failed} of {count} starts failed");
+            println!("{failed} of {} starts failed", arguments.count);
             ExitCode::FAILURE
         }
         Err(error) => {
@@ -31,10 +39,10 @@
 }
 
 /// Returns the number of starts that failed; their logs stay.
-async fn starts(deployment: PathBuf, count: usize) -> Result<usize, String> {
+async fn starts(deployment: &Path, count: usize) -> Result<usize, String> {
     let mut failed = 0;
     for number in 1..=count {
-        let description = Description::load(&deployment)?;
+        let description = Description::load(deployment)?;
         let configuration = description.configuration.display().to_string();
         let name = format!("shallottack-starts-{}-{number}", std::process::id());
         let dir = std::env::temp_dir().join(name);
--- a/crates/shallottackd/src/settings.rs
+++ b/crates/shallottackd/src/settings.rs
@@ -6,10 +6,10 @@
     time::Duration,
 };
 
-use miette::{Diagnostic, NamedSource, SourceSpan};
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 use shallottack_kernel::{DataCentre, EndpointId, GroupName, ServiceName};
+use shallottack_settings::{Check, SettingsError};
 
 /// Shortest token in bytes; shorter ones can be guessed.
 const MIN_TOKEN_BYTES: usize = 16;
@@ -155,37 +155,6 @@
     log::LevelFilter::Info
 }
 
-/// Why the settings can't be used.
-#[derive(Debug, thiserror::Error, Diagnostic)]
-pub enum SettingsError {
-    /// The file can't be read.
-    #[error("settings file {path} can't be read: {source}")]
-    Read {
-        /// Path of the file.
-        path: String,
-        /// Error of the operating system.
-        source: std::io::Error,
-    },
-    /// The file is not valid YAML or has a wrong, missing or unknown key.
-    #[error("settings are malformed")]
-    Parse {
-        /// Text of the file.
-        #[source_code]
-        text: NamedSource<String>,
-        /// Place of the error.
-        #[label("{detail}")]
-        place: Option<SourceSpan>,
-        /// What is wrong.
-        detail: String,
-    },
-    /// Values are out of range or contradict each other.
-    #[error("settings are invalid:{}", .problems.iter().map(|it| format!("\n  - {it}")).collect::<String>())]
-    Invalid {
-        /// Every problem found.
-        problems: Vec<String>,
-    },
-}
-
 impl Settings {
     /// Reads and checks the settings in the file at `path`.
     ///
@@ -193,10 +162,7 @@
     ///
     /// Returns [`SettingsError`] with the file's name and the place of the error.
     pub fn load(path: &Path) -> Result<Settings, SettingsError> {
-        let name = path.display().to_string();
-        let text = std::fs::read_to_string(path)
-            .map_err(|source| SettingsError::Read { path: name.clone(), source })?;
-        Settings::parse(&name, &text)
+        shallottack_settings::load(path)
     }
 
     /// Parses and checks settings; `name` appears in errors.
@@ -205,21 +171,11 @@
     ///
     /// Returns [`SettingsError`] with the place of the error or with every problem found.
     pub fn parse(name: &str, text: &str) -> Result<Settings, SettingsError> {
-        let settings: Settings = serde_saphyr::from_str(text).map_err(|error| {
-            let place = error.location().map(|at| {
-                let offset = line_offset(text, at.line() as usize) + at.column() as usize - 1;
-                SourceSpan::from(offset.min(text.len()))
-            });
-            SettingsError::Parse {
-                text: NamedSource::new(name, text.to_owned()),
-                place,
-                detail: error.without_snippet().to_string(),
-            }
-        })?;
-        let problems = settings.problems();
-        if problems.is_empty() { Ok(settings) } else { Err(SettingsError::Invalid { problems }) }
+        shallottack_settings::parse(name, text)
     }
+}
 
+impl Check for Settings {
     fn problems(&self) -> Vec<String> {
         let mut problems = Vec::new();
         for (key, token) in self.secrets() {
@@ -267,7 +223,9 @@
         }
         problems
     }
+}
 
+impl Settings {
     fn secrets(&self) -> Vec<(&'static str, &str)> {
         let mut secrets = vec![
             ("tokens.mesh", self.tokens.mesh.as_str()),
@@ -279,7 +237,3 @@
         secrets
     }
 }
-
-fn line_offset(text: &str, line: usize) -> usize {
-    text.split_inclusive('\n').take(line.saturating_sub(1)).map(str::len).sum()
-}
--- a/crates/shallottackd/tests/suite/fleet.rs
+++ b/crates/shallottackd/tests/suite/fleet.rs
@@ -17,7 +17,7 @@
 /// Time in which a change has to show; the platform's bounds are 2 s and more.
 const WITHIN: Duration = Duration::from_secs(8);
 
-/// Starts of a daemon with other ports.
+/// Most starts of a daemon, each on other ports.
 const STARTS: usize = 5;
 
 static FILES: AtomicU32 = AtomicU32::new(0);
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -18,6 +18,7 @@
 };
 use miette::Diagnostic;
 use shallottack_rpc::serve_fleet;
+use shallottack_settings::SettingsError;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_async_std::Signals;
 
@@ -31,7 +32,7 @@
     publish::publish,
     relay::Relay,
     rollouts,
-    settings::{Settings, SettingsError},
+    settings::Settings,
     telemetry,
 };
 
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -19,13 +19,13 @@
 
 /// Table in which each daemon describes itself.
 pub const MEMBERS: &str = "members";
-/// Longest wait for a change of the configuration. A connection that has gone silent is noticed
-/// after it, within the time that a configuration has to be in force.
+/// Longest wait for a change of the configuration in a small fleet. A connection that has gone silent
+/// is noticed after it, within the time that a configuration has to be in force.
 const CONFIG_WAIT: Duration = Duration::from_millis(1_500);
 /// Longest wait for a change of the members, which the daemons also tell each other.
 const MEMBERS_WAIT: Duration = Duration::from_secs(8);
-/// Fleet up to whose size `CONFIG_WAIT` holds, in daemons. In larger ones more exchanges with other
-/// daemons tell of a newer configuration, so that the wait grows with the size.
+/// Daemons in a small fleet, the size of today's ungrown sites. In larger ones more exchanges with
+/// other daemons tell of a newer configuration, so that the wait grows with the size.
 const SMALL_FLEET: f64 = 12.0;
 /// Largest factor by which the wait grows.
 const MOST_WAIT_FACTOR: f64 = 5.0;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -26,4 +26,4 @@
 
 pub use daemon::{RunError, run};
 pub use events::{Event, EventLog};
-pub use settings::{Settings, SettingsError};
+pub use settings::Settings;
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -2,10 +2,10 @@
 
 use std::{net::SocketAddr, path::Path, time::Duration};
 
-use miette::Diagnostic;
 use serde::Deserialize;
 use serde_with::serde_as;
 use shallottack_kernel::{DataCentre, EndpointId, ServiceName};
+use shallottack_settings::{Check, SettingsError};
 use shallottack_site::TextDuration;
 
 /// Settings of one daemon.
@@ -74,66 +74,41 @@
     pub metrics: SocketAddr,
 }
 
-/// Why the settings can't be used.
-#[derive(Debug, thiserror::Error, Diagnostic)]
-pub enum SettingsError {
-    /// The file can't be read.
-    #[error("settings file {path} can't be read: {source}")]
-    Read {
-        /// Path of the file.
-        path: String,
-        /// Error of the operating system.
-        source: std::io::Error,
-    },
-    /// The file is not valid YAML or has a wrong, missing or unknown key.
-    #[error("settings are malformed: {0}")]
-    Parse(String),
-    /// Values are out of range or contradict each other.
-    #[error("settings are invalid: {0}")]
-    Invalid(String),
-}
-
 impl Settings {
     /// Reads and checks the settings in the file at `path`.
     ///
     /// # Errors
     ///
-    /// Returns [`SettingsError`] with what is wrong.
+    /// Returns [`SettingsError`] with the file's name and the place of the error.
     pub fn load(path: &Path) -> Result<Settings, SettingsError> {
-        let read = std::fs::read_to_string(path);
-        let path = path.display().to_string();
-        Settings::parse(&read.map_err(|source| SettingsError::Read { path, source })?)
+        shallottack_settings::load(path)
     }
 
-    /// Parses and checks settings.
+    /// Parses and checks settings; `name` appears in errors.
     ///
     /// # Errors
     ///
-    /// Returns [`SettingsError`] with what is wrong.
-    pub fn parse(text: &str) -> Result<Settings, SettingsError> {
-        let settings: Settings = serde_saphyr::from_str(text)
-            .map_err(|it| SettingsError::Parse(it.without_snippet().to_string()))?;
-        let problems = settings.problems();
-        if problems.is_empty() {
-            return Ok(settings);
-        }
-        Err(SettingsError::Invalid(problems.join("; ")))
+    /// Returns [`SettingsError`] with the place of the error or with every problem found.
+    pub fn parse(name: &str, text: &str) -> Result<Settings, SettingsError> {
+        shallottack_settings::parse(name, text)
     }
+}
 
-    fn problems(&self) -> Vec<&'static str> {
+impl Check for Settings {
+    fn problems(&self) -> Vec<String> {
         let mut problems = Vec::new();
         let second = Duration::from_secs(1);
         if self.heartbeat.is_zero() || self.heartbeat > 60 * second {
-            problems.push("heartbeat: expected more than 0 s and at most 60 s");
+            problems.push("heartbeat: expected more than 0 s and at most 60 s".to_owned());
         }
         if self.stop.grace < second {
-            problems.push("stop.grace: expected 1 s or more");
+            problems.push("stop.grace: expected 1 s or more".to_owned());
         }
         if self.retries.window.is_zero() {
-            problems.push("retries.window: expected more than 0 s");
+            problems.push("retries.window: expected more than 0 s".to_owned());
         }
         if !(0.0..=1.0).contains(&self.retries.ratio) || self.retries.extra < 0.0 {
-            problems.push("retries: expected a ratio from 0 to 1 and an extra from 0");
+            problems.push("retries: expected a ratio from 0 to 1 and an extra from 0".to_owned());
         }
         let ports = [
             self.listen.callers,
@@ -144,7 +119,7 @@
         ];
         let repeated = |at: usize| ports[at].port() != 0 && ports[..at].contains(&ports[at]);
         if (0..ports.len()).any(repeated) {
-            problems.push("listen: expected a different address for each use");
+            problems.push("listen: expected a different address for each use".to_owned());
         }
         problems
     }
--- a/crates/sidecar/src/sync.rs
+++ b/crates/sidecar/src/sync.rs
@@ -32,7 +32,8 @@
 /// Factor of that time for daemons of other data centres, where bytes cost more and fewer requests
 /// go.
 const REMOTE_FACTOR: u32 = 3;
-/// The same while a rollout is judged, so that all daemons judge the same counts.
+/// Shortest time between exchanges with any daemon while a rollout is judged, so that all daemons
+/// judge the same counts.
 const ROLLOUT_EVERY: Duration = Duration::from_millis(500);
 /// Time for which a configuration is in force before it is sent to daemons with an older one, which
 /// mostly get it from the store meanwhile. A sixth of the shortest time within which it has to be in
@@ -112,6 +113,7 @@
             let (every, judged) = self.probe_every();
             let mut others = self.others();
             others.shuffle(&mut rand::rng());
+            // Evaluated one by one as they are taken, so that only those that are asked are noted.
             let due = others.into_iter().filter(|it| {
                 let remote = it.data_centre != self.settings.data_centre;
                 let every = if remote && !judged { every * REMOTE_FACTOR } else { every };
--- a/crates/sidecar/tests/suite/settings.rs
+++ b/crates/sidecar/tests/suite/settings.rs
@@ -26,7 +26,7 @@
 /// Guards against settings that are wrong and only show later, under load.
 #[test]
 fn wrong_settings_are_named() {
-    assert!(Settings::parse(GOOD).is_ok());
+    assert!(Settings::parse("test.yaml", GOOD).is_ok());
     let wrong = [
         GOOD.replace("1500ms", "1500"),
         GOOD.replace("grace: 6s", "grace: 6ms"),
@@ -37,7 +37,7 @@
         GOOD.replace("window: 10s", "window: 0s"),
     ];
     let errors: Vec<String> =
-        wrong.iter().map(|it| Settings::parse(it).unwrap_err().to_string()).collect();
+        wrong.iter().map(|it| Settings::parse("test.yaml", it).unwrap_err().to_string()).collect();
     insta::assert_yaml_snapshot!(errors);
 }
 
@@ -67,6 +67,6 @@
         text = text.replace(&format!("{{{{{name}}}}}"), value);
     }
     assert!(!text.contains("{{"), "{text}");
-    let settings = Settings::parse(&text).unwrap();
+    let settings = Settings::parse("test.yaml", &text).unwrap();
     assert_eq!(settings.listen.metrics.port(), 9464);
 }
