Log who was asked for operators' rows, and the counts that judge a move

The log could not tell the hypotheses apart: a daemon that was late with a configuration left no line about whom it asked and how long that took, and a rollout's lines had neither the counts nor whether the daemon judged by answers of its own or by those it heard.

New: event fetched (VM, its versions, outcome, time), behind_ms at config (time since another daemon was known to have a newer one), counts of both versions and the number of daemons at rollout, and a line when a daemon finds a version bad (counted, heard). Metrics shallottack_fetches_total and shallottack_config_behind_seconds.

--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -303,6 +303,20 @@
         news.filter_map(|key| self.others.get(key).map(|it| (&key.0, key.1, it)))
     }
 
+    /// Returns the counts of the old and the new version over all routes and daemons.
+    pub fn totals(&self) -> [Counts; 2] {
+        let mut totals = [Counts::default(); 2];
+        for counts in self.sums.values().chain(self.own.routes.values()) {
+            add(&mut totals, counts);
+        }
+        totals
+    }
+
+    /// Returns the number of other daemons whose counts were heard.
+    pub fn heard(&self) -> usize {
+        self.others.len()
+    }
+
     /// Returns what the counts say; a bad version stays bad.
     pub fn judgement(&self) -> Judgement {
         self.judged
@@ -325,10 +339,7 @@
         let bad = routes.into_iter().any(|route| {
             let mut total = self.sums.get(route).copied().unwrap_or_default();
             let own = self.own.routes.get(route).copied().unwrap_or_default();
-            for (total, own) in total.iter_mut().zip(own) {
-                total.all += own.all;
-                total.bad += own.bad;
-            }
+            add(&mut total, &own);
             self.is_bad(&total)
         });
         if bad {
@@ -357,3 +368,10 @@
         bad * (worse / same).ln() + good * ((1.0 - worse) / (1.0 - same)).ln()
     }
 }
+
+fn add(totals: &mut [Counts; 2], counts: &[Counts; 2]) {
+    for (total, counts) in totals.iter_mut().zip(counts) {
+        total.all += counts.all;
+        total.bad += counts.bad;
+    }
+}
--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -291,7 +291,7 @@
         }
         let mut cores = node.cores();
         if let Outcome::Answered { status, run, .. } = outcome {
-            count(&mut cores, call, &vm, status, run);
+            count(node, &mut cores, call, &vm, status, run);
         }
         let next = cores.placement.ended(ended, &mut rand::rng(), &call.ask, attempt, &vm, outcome);
         drop(cores);
@@ -316,11 +316,14 @@
 }
 
 /// Counts an answer for the rollout of its service, if there is one.
-fn count(cores: &mut Cores, call: &Call, vm: &EndpointId, status: u16, run: Duration) {
+fn count(node: &Node, cores: &mut Cores, call: &Call, vm: &EndpointId, status: u16, run: Duration) {
     let Some(rollout) = cores.rollouts.get_mut(&call.service) else { return };
     let Some(server) = cores.directory.get(vm).and_then(|it| it.server.as_ref()) else { return };
     let side = rollout.side(&server.group);
-    rollout.count(&call.route.name, side, status >= 500, run, !server.cold.is_zero());
+    let cold = !server.cold.is_zero();
+    node.judge(rollout, "counted", |it| {
+        it.count(&call.route.name, side, status >= 500, run, cold);
+    });
 }
 
 /// Sends a request to the daemon of a VM, which can be this one.
--- a/crates/sidecar/src/events.rs
+++ b/crates/sidecar/src/events.rs
@@ -50,6 +50,14 @@
         row: u64,
         routes: usize,
         source: &'a str,
+        behind_ms: u64,
+    },
+    Fetched {
+        vm: &'a str,
+        config: u64,
+        orders: u64,
+        outcome: &'a str,
+        ms: u64,
     },
     ConfigRejected {
         row: u64,
@@ -95,6 +103,11 @@
         state: RolloutState,
         share: f64,
         reason: &'a str,
+        old_all: u32,
+        old_bad: u32,
+        new_all: u32,
+        new_bad: u32,
+        heard: usize,
     },
     Placed {
         id: &'a str,
--- a/crates/sidecar/src/message.rs
+++ b/crates/sidecar/src/message.rs
@@ -103,7 +103,7 @@
 }
 
 /// Versions of the operators' rows that a daemon holds, 0 for none.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Versions {
     /// Row version of the configuration.
     pub config: u64,
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -70,6 +70,8 @@
     pub orders: BTreeMap<ServiceName, OrderRow>,
     /// Whether another daemon is being asked for operators' rows.
     pub fetching: bool,
+    /// Since when another daemon is known to have a newer configuration.
+    pub behind_since: Option<Time>,
     /// Daemons that this one exchanges with.
     pub neighbours: Neighbours,
     waiters: HashMap<TaskId, Sender<Turn>>,
@@ -137,6 +139,7 @@
             own,
             orders: BTreeMap::new(),
             fetching: false,
+            behind_since: None,
             neighbours: Neighbours::default(),
             waiters: HashMap::new(),
             backend_down: None,
@@ -212,15 +215,20 @@
         match configuration::decode(document.row, &document.bytes) {
             Ok(configuration) => {
                 // Held while the version is compared again, since store and peers race.
-                let cores = self.cores();
+                let mut cores = self.cores();
                 if document.row <= self.config_row() {
                     return;
                 }
+                let now = self.now();
+                let behind = now.since(cores.behind_since.take().unwrap_or(now));
+                metrics::histogram!("shallottack_config_behind_seconds")
+                    .record(behind.as_secs_f64());
                 self.events.write(&Event::Config {
                     version: configuration.version,
                     row: configuration.row,
                     routes: configuration.len(),
                     source,
+                    behind_ms: behind.as_millis() as u64,
                 });
                 metrics::gauge!("shallottack_config_row").set(configuration.row as f64);
                 let current = Current { configuration, document: document.clone() };
--- a/crates/sidecar/src/rollouts.rs
+++ b/crates/sidecar/src/rollouts.rs
@@ -5,7 +5,7 @@
 use async_std::task;
 use rand::RngExt;
 use shallottack_fleet::{Order, Rollout, RolloutSettings, RolloutState, Step};
-use shallottack_kernel::{GroupName, ServiceName};
+use shallottack_kernel::{GroupName, ServiceName, Time};
 use shallottack_site::{
     rollout::{STATUS_TABLE, decode_order, decode_status, encode_status, status_key},
     store::{Store, Written},
@@ -60,13 +60,28 @@
         }
     }
 
-    fn note_rollout(&self, rollout: &Rollout, now: shallottack_kernel::Time, reason: &str) {
+    /// Takes what a daemon counted, and notes it when it decides the move.
+    pub fn judge(&self, rollout: &mut Rollout, reason: &str, change: impl FnOnce(&mut Rollout)) {
+        let before = rollout.judgement();
+        change(rollout);
+        if rollout.judgement() != before {
+            self.note_rollout(rollout, self.now(), reason);
+        }
+    }
+
+    fn note_rollout(&self, rollout: &Rollout, now: Time, reason: &str) {
+        let [old, new] = rollout.totals();
         self.events.write(&Event::Rollout {
             service: rollout.order().service.as_str(),
             to: rollout.order().to.as_str(),
             state: rollout.state(),
             share: rollout.share(now),
             reason,
+            old_all: old.all,
+            old_bad: old.bad,
+            new_all: new.all,
+            new_bad: new.bad,
+            heard: rollout.heard(),
         });
     }
 }
--- a/crates/sidecar/src/sync.rs
+++ b/crates/sidecar/src/sync.rs
@@ -101,7 +101,10 @@
             return;
         }
         let (sampled, local) = {
-            let cores = self.cores();
+            let mut cores = self.cores();
+            if theirs.config > held.config {
+                cores.behind_since.get_or_insert(self.now());
+            }
             let member = cores.directory.get(vm);
             let local = member.is_some_and(|it| it.data_centre == self.settings.data_centre);
             (cores.sampled(), local)
@@ -130,16 +133,31 @@
 
     async fn fetch(self: &Arc<Self>, vm: &EndpointId) {
         let Some(member) = self.cores().directory.get(vm).cloned() else { return };
+        let began = self.now();
         let request = SyncRequest { news: self.news_for(&member, false), fetch: true };
-        if let Some(reply) = self.exchange(&member, request, FETCH_TIMEOUT).await {
-            for order in &reply.orders {
-                self.offer_order(order);
-            }
-            if let Some(document) = &reply.document {
-                self.offer_config(document, "peer");
-            }
-            self.take_news(&reply.news);
+        let reply = self.exchange(&member, request, FETCH_TIMEOUT).await;
+        let theirs = reply.as_ref().map_or(Versions::default(), |it| it.news.versions);
+        let outcome = match &reply {
+            Some(reply) if reply.document.is_some() => "config",
+            Some(_) => "no-config",
+            None => "no-answer",
+        };
+        metrics::counter!("shallottack_fetches_total", "outcome" => outcome).increment(1);
+        self.events.write(&Event::Fetched {
+            vm: vm.as_str(),
+            config: theirs.config,
+            orders: theirs.orders,
+            outcome,
+            ms: self.now().since(began).as_millis() as u64,
+        });
+        let Some(reply) = reply else { return };
+        for order in &reply.orders {
+            self.offer_order(order);
         }
+        if let Some(document) = &reply.document {
+            self.offer_config(document, "peer");
+        }
+        self.take_news(&reply.news);
     }
 
     /// Returns the versions of the operators' rows that this daemon holds.
@@ -321,7 +339,9 @@
             let me = (cores.own.vm.clone(), cores.own.incarnation);
             for it in news.counted.iter().filter(|it| (&it.vm, it.incarnation) != (&me.0, me.1)) {
                 for rollout in cores.rollouts.values_mut() {
-                    rollout.hear(&it.vm, it.incarnation, &it.evidence);
+                    self.judge(rollout, "heard", |rollout| {
+                        rollout.hear(&it.vm, it.incarnation, &it.evidence);
+                    });
                 }
             }
         }
--- a/crates/sidecar/tests/suite/events.rs
+++ b/crates/sidecar/tests/suite/events.rs
@@ -47,7 +47,8 @@
     let id = "9c41";
     let events = [
         Event::Started { vm: "vm-1", data_centre: "a", service: "desk", incarnation: 5 },
-        Event::Config { version: 12, row: 7, routes: 3, source: "store" },
+        Event::Config { version: 12, row: 7, routes: 3, source: "store", behind_ms: 0 },
+        Event::Fetched { vm: "vm-2", config: 9, orders: 0, outcome: "config", ms: 120 },
         Event::Store { table: "op", state: "lost", reason: "no answer: timed out" },
         Event::Peer { vm: "vm-2", state: "lost", reason: "cut" },
         Event::Server {
@@ -62,7 +63,12 @@
             to: "v2",
             state: RolloutState::RolledBack,
             share: 0.07,
-            reason: "reported",
+            reason: "counted",
+            old_all: 940,
+            old_bad: 3,
+            new_all: 70,
+            new_bad: 11,
+            heard: 41,
         },
         Event::Placed {
             id,
