--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -8,6 +8,7 @@
 mod placement;
 mod returns;
 mod rollout;
+mod rollout_load;
 mod server;
 mod slots;
 mod slots_load;
--- /dev/null
+++ b/crates/fleet/tests/suite/rollout_load.rs
@@ -0,0 +1,341 @@
+//! Replays a move over a fleet: placements, counts that spread by exchanges, and servers whose
+//! faults depend on time, load or route.
+
+use std::{cmp::Reverse, collections::BinaryHeap, sync::Arc};
+
+use rand::{RngExt, SeedableRng, seq::IndexedRandom};
+use rand_chacha::ChaCha8Rng;
+use shallottack_fleet::{
+    Ask, Attempt, Budget, BudgetSettings, Choice, Evidence, Load, Member, Order, Outcome,
+    Placement, PlacementSettings, Rollout, RolloutSettings, RolloutState, Server, Side, Split,
+    Step,
+};
+use shallottack_kernel::{DataCentre, EndpointId, Time};
+
+use crate::fixture::{at, group, id, member, ms, service};
+
+const CENTRES: [&str; 4] = ["a", "b", "c", "d"];
+/// Old backend servers in a data centre, and as many new ones; the size of a grown deployment.
+const SERVERS: usize = 12;
+const DAEMONS: usize = 48;
+const SLOTS: u32 = 11;
+/// Requests a second in all, and their mean run time: four of eleven slots are taken.
+const RATE: u64 = 850;
+const RUN_S: f64 = 0.23;
+/// Time of the move in milliseconds.
+const WITHIN: u64 = 15_000;
+/// Exchanges that each daemon begins in a second while a move is judged.
+const EXCHANGES: u64 = 24;
+/// Time for a report to be written and read by all, in milliseconds.
+const REPORT: u64 = 500;
+/// Requests that a bad version may get besides its share.
+const SLACK: f64 = 50.0;
+/// Share of all requests that a bad version may get.
+const SHARE: f64 = 0.1;
+
+/// When a request to the new version fails.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    None,
+    Always,
+    Late(u64),
+    OneRoute,
+    /// With as many requests at the same server.
+    Load(u32),
+    /// Takes eight times as long.
+    Slow,
+}
+
+struct Daemon {
+    placement: Placement,
+    rollout: Rollout,
+}
+
+struct Backend {
+    vm: EndpointId,
+    new: bool,
+    running: u32,
+    /// Factor of the run time.
+    speed: f64,
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrival,
+    End { daemon: usize, backend: usize, number: usize },
+    Exchange(usize),
+    Report(bool),
+}
+
+struct Sent {
+    ask: Ask,
+    attempt: Attempt,
+    failed: bool,
+    run_ms: u64,
+}
+
+struct World {
+    rng: ChaCha8Rng,
+    fault: Fault,
+    daemons: Vec<Daemon>,
+    backends: Vec<Backend>,
+    events: BinaryHeap<Reverse<(Time, u64, Event)>>,
+    sent: Vec<Sent>,
+    number: u64,
+    reported: bool,
+    all: u32,
+    exposed: u32,
+}
+
+/// What a move came to.
+#[derive(Debug)]
+struct Played {
+    state: RolloutState,
+    exposed: u32,
+    allowed: f64,
+}
+
+impl World {
+    fn new(seed: u64, fault: Fault) -> World {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut members = Vec::new();
+        let mut backends = Vec::new();
+        for (number, new) in (0..CENTRES.len() * SERVERS * 2).map(|it| (it, it % 2 == 1)) {
+            let name = format!("vm-{}{number}", if new { "new-" } else { "" });
+            let mut member = member(&name, CENTRES[number / 2 % CENTRES.len()], 1);
+            let server = member.server.as_mut().unwrap();
+            server.group = group(if new { "v2" } else { "v1" });
+            server.slots = SLOTS;
+            let speed = *[0.6, 1.0, 1.4].choose(&mut rng).unwrap();
+            backends.push(Backend { vm: member.vm.clone(), new, running: 0, speed });
+            members.push(member);
+        }
+        let daemons = (0..DAEMONS).map(|it| Daemon::new(it, &members)).collect();
+        World {
+            rng,
+            fault,
+            daemons,
+            backends,
+            events: BinaryHeap::new(),
+            sent: Vec::new(),
+            number: 0,
+            reported: false,
+            all: 0,
+            exposed: 0,
+        }
+    }
+
+    fn push(&mut self, time: Time, event: Event) {
+        self.number += 1;
+        self.events.push(Reverse((time, self.number, event)));
+    }
+
+    fn play(mut self) -> Played {
+        self.push(at(0), Event::Arrival);
+        for daemon in 0..DAEMONS {
+            self.push(at(daemon as u64), Event::Exchange(daemon));
+        }
+        while let Some(Reverse((now, _, event))) = self.events.pop() {
+            if now >= at(WITHIN) {
+                break;
+            }
+            match event {
+                Event::Arrival => {
+                    self.arrive(now);
+                    let gap = -(1.0 - self.rng.random::<f64>()).ln() * 1e6 / RATE as f64;
+                    self.push(Time(now.0 + gap as u64), Event::Arrival);
+                }
+                Event::End { daemon, backend, number } => self.end(now, daemon, backend, number),
+                Event::Exchange(daemon) => {
+                    self.exchange(daemon);
+                    self.push(now + ms(1_000 / EXCHANGES), Event::Exchange(daemon));
+                }
+                Event::Report(bad) => {
+                    let state =
+                        if bad { RolloutState::RolledBack } else { RolloutState::Completed };
+                    self.daemons.iter_mut().for_each(|it| it.rollout.set_state(state));
+                }
+            }
+            self.look(now);
+        }
+        let allowed = f64::from(self.all) * SHARE + SLACK;
+        Played { state: self.daemons[0].rollout.state(), exposed: self.exposed, allowed }
+    }
+
+    /// Lets the first daemon with something to report do so.
+    fn look(&mut self, now: Time) {
+        if self.reported {
+            return;
+        }
+        let steps = self.daemons.iter().map(|it| it.rollout.step(now));
+        let report = steps.into_iter().find_map(|it| match it {
+            Step::Report(state) => Some(state == RolloutState::RolledBack),
+            Step::Wait => None,
+        });
+        if let Some(bad) = report {
+            self.reported = true;
+            self.push(now + ms(REPORT), Event::Report(bad));
+        }
+    }
+
+    fn arrive(&mut self, now: Time) {
+        self.all += 1;
+        let daemon = self.rng.random_range(0..DAEMONS);
+        let route: Arc<str> = Arc::from(if self.rng.random_bool(0.7) { "view" } else { "pay" });
+        let split = self.daemons[daemon].rollout.split(now, &mut self.rng);
+        let ask = Ask {
+            service: service("stock"),
+            split,
+            route,
+            goal: now + ms(600),
+            deadline: now + ms(1_500),
+            idempotent: true,
+            attempts: 2,
+            returned: false,
+        };
+        self.daemons[daemon].placement.count_request(now, &ask.service);
+        self.send(now, daemon, ask, Attempt::default());
+    }
+
+    fn send(&mut self, now: Time, daemon: usize, ask: Ask, mut attempt: Attempt) {
+        loop {
+            let placement = &mut self.daemons[daemon].placement;
+            let choice = placement.choose(now, &mut self.rng, &ask, &mut attempt);
+            let Choice::Send { vm, .. } = choice else { return };
+            let backend = self.backends.iter().position(|it| it.vm == vm).unwrap();
+            if self.backends[backend].running < SLOTS {
+                return self.run(now, daemon, backend, ask, attempt);
+            }
+            let outcome = Outcome::Refused {
+                kind: shallottack_kernel::ErrorKind::Overloaded,
+                retry_after: ms(50),
+            };
+            placement.heard(now, &vm, load(SLOTS));
+            placement.ended(now, &mut self.rng, &ask, &mut attempt, &vm, outcome);
+            if attempt.sent >= PlacementSettings::default().sends {
+                return;
+            }
+        }
+    }
+
+    fn run(&mut self, now: Time, daemon: usize, backend: usize, ask: Ask, attempt: Attempt) {
+        let it = &mut self.backends[backend];
+        it.running += 1;
+        let spread = (self.rng.random::<f64>() + self.rng.random::<f64>() - 1.0) * 1.6;
+        let mut seconds = RUN_S * spread.exp() * it.speed;
+        let mut failed = self.rng.random_bool(0.004);
+        if it.new {
+            self.exposed += 1;
+            let half = self.rng.random_bool(0.5);
+            match self.fault {
+                Fault::None => {}
+                Fault::Always => failed |= half,
+                Fault::Late(from) => failed |= half && now >= at(from),
+                Fault::OneRoute => failed |= half && &*ask.route == "pay",
+                Fault::Load(from) => failed |= half && it.running >= from,
+                Fault::Slow if half => seconds *= 8.0,
+                Fault::Slow => {}
+            }
+        }
+        let run_ms = (seconds * 1_000.0) as u64;
+        let number = self.sent.len();
+        self.sent.push(Sent { ask, attempt, failed, run_ms });
+        self.push(now + ms(run_ms), Event::End { daemon, backend, number });
+    }
+
+    fn end(&mut self, now: Time, daemon: usize, backend: usize, number: usize) {
+        let it = &mut self.backends[backend];
+        it.running -= 1;
+        let sent = &mut self.sent[number];
+        let side = if it.new { Side::New } else { Side::Old };
+        let (route, run) = (&sent.ask.route, ms(sent.run_ms));
+        let daemon = &mut self.daemons[daemon];
+        daemon.rollout.count(route, side, sent.failed, run, false);
+        daemon.placement.heard(now, &it.vm, load(it.running));
+        let status = if sent.failed { 500 } else { 200 };
+        let outcome = Outcome::Answered { status, run, bytes: 1_000 };
+        let (ask, attempt) = (&sent.ask, &mut sent.attempt);
+        // A second run of a failed request is left out.
+        daemon.placement.ended(now, &mut self.rng, ask, attempt, &it.vm, outcome);
+    }
+
+    /// Exchanges counts with another daemon, as `sync.rs` of the daemon does.
+    fn exchange(&mut self, me: usize) {
+        let other = self.rng.random_range(0..DAEMONS);
+        if other == me {
+            return;
+        }
+        let most = if me % CENTRES.len() == other % CENTRES.len() { 32 } else { 6 };
+        for (from, to) in [(me, other), (other, me)] {
+            let sender = &self.daemons[from].rollout;
+            let own = (id(&format!("daemon-{from}")), 1, sender.evidence().clone());
+            let others = sender.news(most).map(|(vm, start, it)| (vm.clone(), start, it.clone()));
+            let told: Vec<(EndpointId, u64, Evidence)> = [own].into_iter().chain(others).collect();
+            let me = id(&format!("daemon-{to}"));
+            for (vm, start, evidence) in told.iter().filter(|it| it.0 != me) {
+                self.daemons[to].rollout.hear(vm, *start, evidence);
+            }
+        }
+    }
+}
+
+impl Daemon {
+    fn new(number: usize, members: &[Member]) -> Daemon {
+        let here = DataCentre::new(CENTRES[number % CENTRES.len()]).unwrap();
+        let budget =
+            Budget::new(BudgetSettings { ratio: 0.2, extra: 60.0, window: ms(10_000), used: 0.6 });
+        let me = id(&format!("daemon-{number}"));
+        let mut placement = Placement::new(PlacementSettings::default(), me, here, budget);
+        placement.set_daemons(DAEMONS);
+        for member in members {
+            placement.set_member(at(0), member);
+            placement.heard(at(0), &member.vm, load(0));
+        }
+        let order =
+            Order { row: 3, service: service("stock"), to: group("v2"), within: ms(WITHIN) };
+        Daemon { placement, rollout: Rollout::new(RolloutSettings::default(), at(0), order) }
+    }
+}
+
+fn load(running: u32) -> Load {
+    Load { running, queued: 0, limit: SLOTS, pace: 0 }
+}
+
+fn exposure(fault: Fault) {
+    for seed in 0..4 {
+        let played = World::new(seed, fault).play();
+        assert!(f64::from(played.exposed) <= played.allowed, "{fault:?}, seed {seed}: {played:?}");
+        assert_eq!(played.state, RolloutState::RolledBack, "{fault:?}, seed {seed}: {played:?}");
+    }
+}
+
+/// Guards against a bad version that gets more than its tenth before it is found out.
+#[test]
+fn version_that_fails_from_the_start_stays_within_its_share() {
+    exposure(Fault::Always);
+    exposure(Fault::OneRoute);
+    exposure(Fault::Slow);
+}
+
+/// The same for a version that is good at first.
+#[test]
+fn version_that_fails_late_stays_within_its_share() {
+    for from in [3_000, 6_000, 8_000] {
+        exposure(Fault::Late(from));
+    }
+}
+
+/// The same for a version that fails at servers with half of their slots taken.
+#[test]
+fn version_that_fails_under_load_stays_within_its_share() {
+    exposure(Fault::Load(6));
+}
+
+/// Guards against a good version that is taken back, although its servers differ in speed.
+#[test]
+fn good_version_of_uneven_servers_is_completed() {
+    for seed in 0..8 {
+        let played = World::new(seed, Fault::None).play();
+        assert_eq!(played.state, RolloutState::Completed, "seed {seed}: {played:?}");
+    }
+}
