Try a new version at few backend servers with their usual load

Cause: the share of a version on trial, 0.07, went to all of its backend servers, so that each ran with a fourteenth of the load that it would have in use. Class of fault: a trial under other conditions than those that are to be judged.

Change: a request that is drawn for the new version goes to a part of its servers in the data centre as large as the share, at least one, the same ones for all daemons; where these have no free slot it goes to the old version, and a further send after a failure does so too. One in seven may go to any server of the new version, so that each is seen at work. In the last seconds, at a share of 1, all of them serve as before.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -8,6 +8,8 @@
 
 use rand::{Rng, RngExt};
 use shallottack_kernel::{DataCentre, EndpointId, ErrorKind, GroupName, Run, ServiceName, Time};
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     Ask, Attempt, Budget, Choice, Load, Member, Next, Outcome, Report, Split,
@@ -304,7 +306,11 @@
         if ask.deadline <= now {
             return self.reject(rng, ErrorKind::DeadlineUnmet, attempt, Duration::ZERO);
         }
-        let (vm, free) = match self.best(now, rng, ask, attempt) {
+        let mut best = self.best(now, rng, ask, attempt, attempt.tried.is_empty());
+        if !matches!(best, Best::Send { .. }) && matches!(ask.split, Split::Trial { .. }) {
+            best = self.best(now, rng, ask, attempt, false);
+        }
+        let (vm, free) = match best {
             Best::Send { vm, free } => (vm, free),
             Best::Full(wait) => return self.reject(rng, ErrorKind::Overloaded, attempt, wait),
             Best::None => return self.reject(rng, ErrorKind::NoEndpoint, attempt, Duration::ZERO),
@@ -403,31 +409,75 @@
     }
 
     fn others(&self, now: Time, ask: &Ask, attempt: &Attempt) -> bool {
-        self.usable(now, ask).any(|it| !attempt.tried.contains(&it.member.vm))
+        self.usable(now, ask, false).any(|it| !attempt.tried.contains(&it.member.vm))
+    }
+
+    /// Returns the candidates of a service that may be sent to, by version if possible; `trial`
+    /// states whether a version on trial may be among them.
+    fn usable<'a>(
+        &'a self,
+        now: Time,
+        ask: &'a Ask,
+        trial: bool,
+    ) -> impl Iterator<Item = &'a Candidate> {
+        let on_trial = match &ask.split {
+            Split::Trial { group, part } if trial => Some(self.on_trial(now, ask, group, *part)),
+            _ => None,
+        };
+        let strict = on_trial.is_some() || ask.split.strict();
+        let fits = move |it: &Candidate| match &on_trial {
+            Some(vms) => vms.contains(&&it.member.vm),
+            None => ask.split.allows(&it.server.group),
+        };
+        let any = !strict && !self.open(now, ask).any(&fits);
+        self.open(now, ask).filter(move |it| any || fits(it))
     }
 
-    /// Returns the candidates of a service that may be sent to, by version if possible.
-    fn usable<'a>(&'a self, now: Time, ask: &'a Ask) -> impl Iterator<Item = &'a Candidate> {
-        let open = move |it: &&Candidate| it.server.service == ask.service && it.open(now);
-        let fits = |it: &Candidate| ask.split.allows(&it.server.group);
-        let any_fits = self.candidates.values().filter(open).any(fits);
-        let any = !any_fits && !ask.split.strict();
-        self.candidates.values().filter(open).filter(move |it| any || fits(it))
+    fn open<'a>(&'a self, now: Time, ask: &'a Ask) -> impl Iterator<Item = &'a Candidate> {
+        self.candidates.values().filter(move |it| it.server.service == ask.service && it.open(now))
+    }
+
+    /// Returns the VMs whose backend servers try a version: a part of those in the own data centre,
+    /// or else of all. All daemons of a data centre take the same ones.
+    fn on_trial<'a>(
+        &'a self,
+        now: Time,
+        ask: &'a Ask,
+        group: &GroupName,
+        part: f64,
+    ) -> SmallVec<[&'a EndpointId; 8]> {
+        let of_group = |it: &&Candidate| it.server.group == *group;
+        let here = |it: &&Candidate| it.member.data_centre == self.here;
+        let any_here = self.open(now, ask).filter(of_group).any(|it| here(&it));
+        let tried = self.open(now, ask).filter(of_group).filter(|it| !any_here || here(it));
+        let mut vms: SmallVec<[&EndpointId; 8]> = tried.map(|it| &it.member.vm).collect();
+        vms.sort_unstable_by_key(|it| xxh3_64(it.as_str().as_bytes()));
+        vms.truncate(((vms.len() as f64 * part) as usize).max(1));
+        vms
     }
 
     /// Returns the VM with the lowest expected time to the end of the run, among those where the
     /// request is expected to wait for no more than a part of its spare time.
-    fn best(&self, now: Time, rng: &mut dyn Rng, ask: &Ask, attempt: &Attempt) -> Best {
+    fn best(
+        &self,
+        now: Time,
+        rng: &mut dyn Rng,
+        ask: &Ask,
+        attempt: &Attempt,
+        trial: bool,
+    ) -> Best {
         let cost = self.cost(&ask.route);
         let goal = ask.goal.since(now).as_secs_f64().max(cost);
-        let patience = self.patience(now, ask, cost);
+        // A version on trial is not worth a wait.
+        let trial = trial && matches!(ask.split, Split::Trial { .. });
+        let patience = if trial { 0.0 } else { self.patience(now, ask, cost) };
         let size = self.sizes.get(&ask.route).copied().unwrap_or(0.0);
         let part = self.settings.remote_part + self.settings.remote_per_kb * size;
         let remote_cost = goal * part.min(self.settings.most_remote);
         let mut best: Option<(f64, &Candidate, f64)> = None;
         let mut full: Option<f64> = None;
-        let fresh = self.usable(now, ask).any(|it| !attempt.tried.contains(&it.member.vm));
-        for it in self.usable(now, ask) {
+        let fresh = self.usable(now, ask, trial).any(|it| !attempt.tried.contains(&it.member.vm));
+        for it in self.usable(now, ask, trial) {
             // A VM that refused may have room again when all others have refused as well.
             if fresh && attempt.tried.contains(&it.member.vm) {
                 continue;
@@ -548,7 +598,9 @@
         match self {
             Split::Any => true,
             Split::Only(only) => group == only,
-            Split::Except { group: other, .. } => group != other,
+            Split::Trial { group: other, .. } | Split::Except { group: other, .. } => {
+                group != other
+            }
         }
     }
 
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -40,10 +40,18 @@
 }
 
 /// Versions that may run a request.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Split {
     /// All.
     Any,
+    /// A part of the backend servers of a version that is on trial; the other versions where they
+    /// have no room, and for each further send.
+    Trial {
+        /// Version on trial.
+        group: GroupName,
+        /// Part of its backend servers in a data centre.
+        part: f64,
+    },
     /// One, or any when none of it is there.
     Only(GroupName),
     /// All but one.
@@ -148,6 +156,9 @@
 /// Share of the new version when the rise begins; small enough that a version that fails under
 /// load only shows itself to few.
 const RISE_FROM: f64 = 0.15;
+/// Part of the new version's requests that any of its backend servers may get, so that a single
+/// one that does not work shows before many requests depend on it.
+const EXPLORED: f64 = 0.15;
 /// Share of bad answers of the old version above which both versions may have one fault.
 const SHARED_SHARE: f64 = 0.06;
 /// Runs of the old version that make its usual run time known; run times spread over a factor of
@@ -246,11 +257,16 @@
         if self.judged == Judgement::Bad {
             return Split::Except { group, strict: true };
         }
-        if rng.random::<f64>() < self.share(now) {
-            Split::Only(group)
-        } else {
-            Split::Except { group, strict: false }
+        let share = self.share(now);
+        if share >= 1.0 {
+            return Split::Only(group);
+        }
+        if rng.random::<f64>() >= share {
+            return Split::Except { group, strict: false };
         }
+        // As many servers as carry the share with the load that all will have in the end.
+        let part = if rng.random::<f64>() < EXPLORED { 1.0 } else { share };
+        Split::Trial { group, part }
     }
 
     /// Returns the share of the new version by the timetable.
--- a/crates/fleet/tests/suite/placement.rs
+++ b/crates/fleet/tests/suite/placement.rs
@@ -2,11 +2,11 @@
 
 use shallottack_fleet::{
     Ask, Attempt, Budget, BudgetSettings, Choice, Load, Member, Next, Outcome, Placement,
-    PlacementSettings, Report,
+    PlacementSettings, Report, Split,
 };
 use shallottack_kernel::{DataCentre, ErrorKind};
 
-use crate::fixture::{ask, at, id, member, ms, rng};
+use crate::fixture::{ask, at, group, id, member, ms, rng};
 
 fn placement(vms: &[(&str, &str)]) -> Placement {
     let budget =
@@ -249,3 +249,48 @@
     let choice = placement.choose(at(2_000), &mut rng(1), &ask(at(2_000)), &mut Attempt::default());
     assert_eq!(chosen(&choice), "a1");
 }
+
+/// Guards against a new version whose few requests are spread over all of its backend servers, so
+/// that none has the load that it will have in use.
+#[test]
+fn version_on_trial_runs_at_few_backend_servers() {
+    let names: Vec<String> = (0..24).map(|it| format!("vm-{it}")).collect();
+    let all: Vec<(&str, &str)> =
+        names.iter().enumerate().map(|(it, name)| (name.as_str(), ["a", "b"][it / 12])).collect();
+    let mut placement = placement(&all);
+    for (vm, data_centre) in all.iter().skip(6).take(12) {
+        let mut member = member(vm, data_centre, 2);
+        member.server.as_mut().unwrap().group = group("v2");
+        placement.set_member(at(0), &member);
+    }
+    let split = Split::Trial { group: group("v2"), part: 0.2 };
+    let ask = Ask { split, ..ask(at(0)) };
+    let mut choose = || choose(&mut placement, &ask, &mut Attempt::default());
+    let taken: Vec<String> = (0..10).map(|_| chosen(&choose()).to_owned()).collect();
+    // One of the six of the own data centre, until its slots are taken; then the old version.
+    let (new, old) = taken.split_at(3);
+    assert!(names[6..12].contains(&new[0]) && new.iter().all(|it| *it == new[0]), "{taken:?}");
+    assert!(old.iter().all(|it| names[..6].contains(it)), "{taken:?}");
+}
+
+/// Guards against a request that is rejected, or fails for good, because the few backend servers of
+/// a version on trial have no room or failed it.
+#[test]
+fn request_goes_on_to_the_old_version() {
+    let mut placement = placement(&[("a1", "a"), ("a2", "a"), ("a3", "a")]);
+    let mut new = member("a3", "a", 2);
+    new.server.as_mut().unwrap().group = group("v2");
+    placement.set_member(at(0), &new);
+    let split = Split::Trial { group: group("v2"), part: 1.0 };
+    let ask = Ask { split, ..ask(at(0)) };
+    let mut attempt = Attempt::default();
+    assert_eq!(chosen(&choose(&mut placement, &ask, &mut attempt)), "a3");
+    let failed = Outcome::Answered { status: 500, run: ms(50), bytes: 0 };
+    let next = placement.ended(at(60), &mut rng(1), &ask, &mut attempt, &id("a3"), failed);
+    assert_eq!(next, Next::Again);
+    let choice = choose(&mut placement, &ask, &mut attempt);
+    assert!(["a1", "a2"].contains(&chosen(&choice)), "{choice:?}");
+    placement.heard(at(61), &id("a3"), load(4, 40));
+    let choice = placement.choose(at(61), &mut rng(1), &ask, &mut Attempt::default());
+    assert!(["a1", "a2"].contains(&chosen(&choice)), "{choice:?}");
+}
--- a/crates/fleet/tests/suite/rollout.rs
+++ b/crates/fleet/tests/suite/rollout.rs
@@ -36,7 +36,7 @@
         let now = at(step * 10);
         let route: Arc<str> = Arc::from(if rng.random_bool(0.7) { "view" } else { "pay" });
         let side = match rollout.split(now, &mut rng) {
-            Split::Only(_) => Side::New,
+            Split::Trial { .. } | Split::Only(_) => Side::New,
             _ => Side::Old,
         };
         exposed += u32::from(side == Side::New);
--- a/crates/fleet/tests/suite/rollout_load.rs
+++ b/crates/fleet/tests/suite/rollout_load.rs
@@ -7,8 +7,7 @@
 use rand_chacha::ChaCha8Rng;
 use shallottack_fleet::{
     Ask, Attempt, Budget, BudgetSettings, Choice, Evidence, Load, Member, Order, Outcome,
-    Placement, PlacementSettings, Rollout, RolloutSettings, RolloutState, Server, Side, Split,
-    Step,
+    Placement, PlacementSettings, Rollout, RolloutSettings, RolloutState, Side, Step,
 };
 use shallottack_kernel::{DataCentre, EndpointId, Time};
 
