Judge failures of a new version by their likelihood, apart from slow answers

A fault that hits one answer in thirty, or one in ten after many good ones, was never or late judged, although the old version fails one in some hundreds. Class of fault: a threshold in place of a comparison.

Ruled out: the same test on all bad answers.

Change: failures and slow answers are counted apart. Where the old version is known well, failures are judged by the likelihood ratio of four times its share against its share, at the limit that was used for versions that may share a fault. The fixed share stays for slow answers.

--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -77,8 +77,28 @@
 pub struct Counts {
     /// All answers.
     pub all: u32,
-    /// Failures and answers that were several times slower than usual.
-    pub bad: u32,
+    /// Failures.
+    pub failed: u32,
+    /// Other answers that were several times slower than usual.
+    pub slow: u32,
+}
+
+impl Counts {
+    fn bad(&self) -> u32 {
+        self.failed + self.slow
+    }
+
+    fn add(&mut self, other: &Counts) {
+        self.all += other.all;
+        self.failed += other.failed;
+        self.slow += other.slow;
+    }
+
+    fn remove(&mut self, other: &Counts) {
+        self.all -= other.all;
+        self.failed -= other.failed;
+        self.slow -= other.slow;
+    }
 }
 
 /// Counts of one daemon for one order.
@@ -164,6 +184,12 @@
 /// Runs of the old version that make its usual run time known; run times spread over a factor of
 /// five.
 const LEAST_USUAL: u32 = 12;
+/// Share of failures that a version without a fault may have; requests of the sites fail in up to
+/// four of a thousand.
+const LEAST_FAILURES: f64 = 0.01;
+/// Factor by which failures exceed the usual share at a version that is worse; a bad version fails
+/// a good part of its requests at some load.
+const FAILURE_EXCESS: f64 = 4.0;
 /// Answers of the old version below which its share of bad ones is not known well.
 const LEAST_COMPARED: u32 = 60;
 /// Evidence needed then, as the logarithm of a likelihood ratio; it is reached by chance in one of
@@ -297,7 +323,8 @@
         let counts = self.own.routes.entry(Arc::clone(route)).or_default();
         let counts = &mut counts[side as usize];
         counts.all += 1;
-        counts.bad += u32::from(failed || slow);
+        counts.failed += u32::from(failed);
+        counts.slow += u32::from(slow && !failed);
         if side == Side::Old && !failed && !cold {
             self.usual.entry(Arc::clone(route)).or_default().add(seconds);
         }
@@ -320,14 +347,12 @@
         if before.is_some_and(|it| it.total() >= evidence.total()) {
             return;
         }
-        for (evidence, sign) in before.map(|it| (it, -1)).into_iter().chain([(evidence, 1)]) {
-            for (route, counts) in &evidence.routes {
-                let sum = self.sums.entry(Arc::clone(route)).or_default();
-                for (sum, counts) in sum.iter_mut().zip(counts) {
-                    sum.all = sum.all.wrapping_add_signed(sign * counts.all as i32);
-                    sum.bad = sum.bad.wrapping_add_signed(sign * counts.bad as i32);
-                }
-            }
+        for (route, counts) in &evidence.routes {
+            add(self.sums.entry(Arc::clone(route)).or_default(), counts);
+        }
+        for (route, counts) in before.into_iter().flat_map(|it| &it.routes) {
+            let sums = self.sums.entry(Arc::clone(route)).or_default();
+            sums.iter_mut().zip(counts).for_each(|(sum, it)| sum.remove(it));
         }
         self.others.insert(key.clone(), evidence.clone());
         self.news.retain(|it| *it != key);
@@ -386,30 +411,36 @@
     }
 
     fn is_bad(&self, [old, new]: &[Counts; 2]) -> bool {
-        let share = |it: &Counts| f64::from(it.bad) / f64::from(it.all.max(1));
-        // One more bad answer of the old version than seen, since it has few as well at first.
-        let old_share = f64::from(old.bad + 1) / f64::from(old.all + 10);
-        let stands_out = new.bad >= self.settings.least_bad
+        let share = |it: &Counts| f64::from(it.bad()) / f64::from(it.all.max(1));
+        let old_share = known_share(old.bad(), old.all);
+        let stands_out = new.bad() >= self.settings.least_bad
             && share(new) >= self.settings.bad_share
             && share(new) >= old_share * self.settings.excess;
-        let compared = old.all >= LEAST_COMPARED && old_share < SHARED_SHARE;
-        let same = old_share.max(SHARED_SHARE);
-        stands_out && (compared || self.evidence_against(new, same) >= SURE)
+        if old.all >= LEAST_COMPARED && old_share < SHARED_SHARE {
+            // Servers differ in speed but not in failures, so that few of these say much.
+            let usual = known_share(old.failed, old.all).max(LEAST_FAILURES);
+            stands_out || evidence_against(new.failed, new.all, usual, FAILURE_EXCESS) >= SURE
+        } else {
+            let usual = old_share.max(SHARED_SHARE);
+            stands_out && evidence_against(new.bad(), new.all, usual, self.settings.excess) >= SURE
+        }
     }
+}
 
-    /// Returns the logarithm of the likelihood ratio of the new version's counts: several times
-    /// the old version's share of bad answers against the same share.
-    fn evidence_against(&self, new: &Counts, old_share: f64) -> f64 {
-        let same = old_share.min(0.9);
-        let worse = (same * self.settings.excess).min(0.95);
-        let (bad, good) = (f64::from(new.bad), f64::from(new.all - new.bad));
-        bad * (worse / same).ln() + good * ((1.0 - worse) / (1.0 - same)).ln()
-    }
+/// Returns a share with one more bad answer than seen, since there are few at first.
+fn known_share(bad: u32, all: u32) -> f64 {
+    f64::from(bad + 1) / f64::from(all + 10)
+}
+
+/// Returns the logarithm of the likelihood ratio of the counts: `excess` times the usual share of
+/// bad answers against the usual one.
+fn evidence_against(bad: u32, all: u32, usual: f64, excess: f64) -> f64 {
+    let usual = usual.min(0.9);
+    let worse = (usual * excess).min(0.95);
+    let good = f64::from(all - bad);
+    f64::from(bad) * (worse / usual).ln() + good * ((1.0 - worse) / (1.0 - usual)).ln()
 }
 
 fn add(totals: &mut [Counts; 2], counts: &[Counts; 2]) {
-    for (total, counts) in totals.iter_mut().zip(counts) {
-        total.all += counts.all;
-        total.bad += counts.bad;
-    }
+    totals.iter_mut().zip(counts).for_each(|(total, it)| total.add(it));
 }
--- a/crates/fleet/tests/suite/rollout_load.rs
+++ b/crates/fleet/tests/suite/rollout_load.rs
@@ -330,6 +330,13 @@
     exposure(Fault::Load(6));
 }
 
+/// Guards against failures that are too few for a fixed share: at this load one answer in thirty
+/// of the version fails.
+#[test]
+fn version_that_seldom_fails_stays_within_its_share() {
+    exposure(Fault::Load(9));
+}
+
 /// Guards against a good version that is taken back, although its servers differ in speed.
 #[test]
 fn good_version_of_uneven_servers_is_completed() {
--- a/crates/sidecar/src/events.rs
+++ b/crates/sidecar/src/events.rs
@@ -104,9 +104,11 @@
         share: f64,
         reason: &'a str,
         old_all: u32,
-        old_bad: u32,
+        old_failed: u32,
+        old_slow: u32,
         new_all: u32,
-        new_bad: u32,
+        new_failed: u32,
+        new_slow: u32,
         heard: usize,
     },
     Placed {
--- a/crates/sidecar/src/rollouts.rs
+++ b/crates/sidecar/src/rollouts.rs
@@ -78,9 +78,11 @@
             share: rollout.share(now),
             reason,
             old_all: old.all,
-            old_bad: old.bad,
+            old_failed: old.failed,
+            old_slow: old.slow,
             new_all: new.all,
-            new_bad: new.bad,
+            new_failed: new.failed,
+            new_slow: new.slow,
             heard: rollout.heard(),
         });
     }
--- a/crates/sidecar/tests/suite/events.rs
+++ b/crates/sidecar/tests/suite/events.rs
@@ -65,9 +65,11 @@
             share: 0.07,
             reason: "counted",
             old_all: 940,
-            old_bad: 3,
+            old_failed: 3,
+            old_slow: 9,
             new_all: 70,
-            new_bad: 11,
+            new_failed: 11,
+            new_slow: 0,
             heard: 41,
         },
         Event::Placed {
