Tell other daemons that a version was found bad, not only the counts

What callers would see (EXPOSURE): a daemon that starts during or after a move, or whose connection to the store has gone silent, sends a bad version its share for up to 8 s.

Cause: daemons told each other their counts while a move ran, and nothing once it was taken back. The end of a move came from the store alone, whose feed is given up on after 8.3 s in a fleet of 85 daemons; a bad version has to be left within 5 s. Class of fault: state that is known in the fleet but passed on only through the store.

Change: evidence states whether the version was found bad, and a daemon that hears or reads so leaves the version and passes it on. After the move only this is told, some tens of bytes. daemon_that_starts_late_hears_what_others_found did not compile before, since there was nothing to tell.

--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -106,13 +106,16 @@
 pub struct Evidence {
     /// Version of the order's row in the store.
     pub row: u64,
+    /// Whether the daemon found the new version bad, or heard or read that it is.
+    pub bad: bool,
     /// Old and new version by route.
     pub routes: BTreeMap<Arc<str>, [Counts; 2]>,
 }
 
 impl Evidence {
-    fn total(&self) -> u32 {
-        self.routes.values().flatten().map(|it| it.all).sum()
+    /// Returns what orders the evidence of one daemon; counts only grow, and a verdict is final.
+    fn order(&self) -> (bool, u32) {
+        (self.bad, self.routes.values().flatten().map(|it| it.all).sum())
     }
 }
 
@@ -270,6 +273,9 @@
         if self.state == RolloutState::Running {
             self.state = state;
         }
+        if self.state == RolloutState::RolledBack {
+            self.condemn();
+        }
     }
 
     /// Draws the versions that may run a request.
@@ -336,6 +342,12 @@
         &self.own
     }
 
+    /// Returns what daemons that still use the new version have to know once it was found bad.
+    pub fn verdict(&self) -> Option<Evidence> {
+        let verdict = Evidence { row: self.order.row, bad: true, routes: BTreeMap::new() };
+        self.own.bad.then_some(verdict)
+    }
+
     /// Takes the counts of another daemon, from it or from one that passes them on.
     pub fn hear(&mut self, vm: &EndpointId, incarnation: u64, evidence: &Evidence) {
         if evidence.row != self.order.row {
@@ -343,8 +355,7 @@
         }
         let key = (vm.clone(), incarnation);
         let before = self.others.get(&key);
-        // Counts only grow, so that the larger ones are the newer ones.
-        if before.is_some_and(|it| it.total() >= evidence.total()) {
+        if before.is_some_and(|it| it.order() >= evidence.order()) {
             return;
         }
         for (route, counts) in &evidence.routes {
@@ -357,6 +368,9 @@
         self.others.insert(key.clone(), evidence.clone());
         self.news.retain(|it| *it != key);
         self.news.push_front(key);
+        if evidence.bad {
+            self.condemn();
+        }
         self.judge();
     }
 
@@ -406,10 +420,15 @@
             self.is_bad(&total)
         });
         if bad {
-            self.judged = Judgement::Bad;
+            self.condemn();
         }
     }
 
+    fn condemn(&mut self) {
+        self.judged = Judgement::Bad;
+        self.own.bad = true;
+    }
+
     fn is_bad(&self, [old, new]: &[Counts; 2]) -> bool {
         let share = |it: &Counts| f64::from(it.bad()) / f64::from(it.all.max(1));
         let old_share = known_share(old.bad(), old.all);
--- a/crates/fleet/tests/suite/rollout.rs
+++ b/crates/fleet/tests/suite/rollout.rs
@@ -115,6 +115,26 @@
     assert!(matches!(rollout.split(at(1), &mut rng(1)), Split::Except { strict: true, .. }));
 }
 
+/// Guards against a daemon that goes on using a bad version because it started after the counts
+/// were passed on, and can't read the report in the store.
+#[test]
+fn daemon_that_starts_late_hears_what_others_found() {
+    let mut finder = rollout();
+    (0..90).for_each(|_| finder.count(&Arc::from("view"), Side::Old, false, ms(100), false));
+    (0..9).for_each(|_| finder.count(&Arc::from("view"), Side::New, true, ms(100), false));
+    assert_eq!(finder.judgement(), Judgement::Bad);
+    let mut reader = rollout();
+    reader.set_state(RolloutState::RolledBack);
+    for found in [finder.verdict(), reader.verdict()] {
+        let found = found.expect("the version is bad");
+        let mut late = rollout();
+        late.hear(&id("vm-1"), 1, &found);
+        assert_eq!(late.judgement(), Judgement::Bad);
+        assert_eq!(late.verdict(), Some(found));
+    }
+    assert_eq!(rollout().verdict(), None);
+}
+
 /// Guards against counts of an earlier order that judge the present one.
 #[test]
 fn evidence_of_another_order_is_ignored() {
--- a/crates/sidecar/src/sync.rs
+++ b/crates/sidecar/src/sync.rs
@@ -4,7 +4,7 @@
 
 use async_std::task;
 use rand::{RngExt, seq::SliceRandom};
-use shallottack_fleet::{Evidence, Load, Member, NeighbourSettings, Neighbours, RolloutState};
+use shallottack_fleet::{Load, Member, NeighbourSettings, Neighbours, RolloutState};
 use shallottack_kernel::{EndpointId, Time};
 use shallottack_rpc::PeerError;
 
@@ -382,17 +382,27 @@
     }
 
     /// Returns the counts of the rollouts in progress: this daemon's own, and up to `most` of
-    /// others for each.
+    /// others for each; and the verdict of those that ended with a bad version, for daemons that
+    /// have not read the report.
     fn counted(&self, most: usize) -> Vec<Counted> {
-        let running = self.rollouts.values().filter(|it| it.state() == RolloutState::Running);
-        let own = (&self.own.vm, self.own.incarnation);
-        let all =
-            running.flat_map(|it| [(own.0, own.1, it.evidence())].into_iter().chain(it.news(most)));
-        let counted = |(vm, incarnation, evidence): (&EndpointId, u64, &Evidence)| Counted {
-            vm: vm.clone(),
-            incarnation,
-            evidence: evidence.clone(),
-        };
-        all.map(counted).collect()
+        let mut all = Vec::new();
+        for rollout in self.rollouts.values() {
+            let counted = |vm: &EndpointId, incarnation, evidence| Counted {
+                vm: vm.clone(),
+                incarnation,
+                evidence,
+            };
+            let own = match rollout.state() {
+                RolloutState::Running => Some(rollout.evidence().clone()),
+                RolloutState::RolledBack => rollout.verdict(),
+                RolloutState::Completed => None,
+            };
+            all.extend(own.map(|it| counted(&self.own.vm, self.own.incarnation, it)));
+            if rollout.state() == RolloutState::Running {
+                let heard = rollout.news(most);
+                all.extend(heard.map(|(vm, start, it)| counted(vm, start, it.clone())));
+            }
+        }
+        all
     }
 }
