Ask a second daemon for a configuration when the first one is slow to answer

What callers would see (CONFIG): a VM goes on with an older configuration while it waits for a daemon that has ended or is cut off; the question is given up on after 1.5 s, of the 2 to 3 s in which a change has to be in force. It was not seen to break a rule.

Cause: one flag held back every other question while one was open. Class of fault: a single attempt with a time limit close to the bound that it serves.

Change: the decision moves to a core (crates/fleet, fetch.rs): one daemon is asked at a time, and a second one when the first has not answered within half a second.

--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod configuration;
 mod directory;
+mod fetch;
 mod fixture;
 mod neighbours;
 mod placement;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -12,7 +12,7 @@
 use arc_swap::ArcSwapOption;
 use async_std::channel::{Receiver, Sender, bounded};
 use shallottack_fleet::{
-    Budget, BudgetSettings, Configuration, Directory, Load, LocalServer, Member, Merge,
+    Budget, BudgetSettings, Configuration, Directory, Fetches, Load, LocalServer, Member, Merge,
     NeighbourSettings, Neighbours, Placement, PlacementSettings, Returns, ReturnsSettings, Rollout,
     Slots, SlotsSettings, TaskId, Wake, is_reader,
 };
@@ -68,8 +68,8 @@
     pub own: Member,
     /// Orders of rollouts as they lie in the store, by service.
     pub orders: BTreeMap<ServiceName, OrderRow>,
-    /// Whether another daemon is being asked for operators' rows.
-    pub fetching: bool,
+    /// Daemons that are being asked for operators' rows.
+    pub fetches: Fetches,
     /// Since when another daemon is known to have a newer configuration.
     pub behind_since: Option<Time>,
     /// Daemons that this one exchanges with.
@@ -138,7 +138,7 @@
             rollouts: BTreeMap::new(),
             own,
             orders: BTreeMap::new(),
-            fetching: false,
+            fetches: Fetches::default(),
             behind_since: None,
             neighbours: Neighbours::default(),
             waiters: HashMap::new(),
--- a/crates/sidecar/src/sync.rs
+++ b/crates/sidecar/src/sync.rs
@@ -4,7 +4,7 @@
 
 use async_std::task;
 use rand::{RngExt, seq::SliceRandom};
-use shallottack_fleet::{Load, Member, NeighbourSettings, Neighbours, RolloutState};
+use shallottack_fleet::{Fetch, Load, Member, NeighbourSettings, Neighbours, RolloutState};
 use shallottack_kernel::{EndpointId, Time};
 use shallottack_rpc::PeerError;
 
@@ -37,9 +37,6 @@
 /// Shortest time between exchanges with any daemon while a rollout is judged, so that all daemons
 /// judge the same counts.
 const ROLLOUT_EVERY: Duration = Duration::from_millis(500);
-/// Time after which a newer configuration that another daemon has is asked for; most daemons get it
-/// from the store meanwhile. A sixth of the shortest time within which it has to be in force.
-const FETCH_AFTER: Duration = Duration::from_millis(400);
 /// Time for a configuration to arrive: one of 1,500 routes over half of a link of 10 Mbit/s.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Neighbours that a daemon tells of newer operators' rows; three rounds reach 500 daemons.
@@ -92,45 +89,40 @@
     }
 
     /// Takes note that a daemon has operators' rows of these versions, and asks for them when they are
-    /// newer. One daemon is asked at a time, since several answers at once would hold each other up
-    /// on a slow link. Before another data centre is asked, the own one has a moment to bring them;
-    /// so has the store in a fleet in which every daemon follows it.
+    /// newer. Before another data centre is asked, the own one has a moment to bring them; so has the
+    /// store in a fleet in which every daemon follows it.
     pub fn heard_versions(self: &Arc<Self>, vm: &EndpointId, theirs: Versions) {
         let held = self.versions();
         if !theirs.newer_than(held) {
             return;
         }
-        let (sampled, local) = {
+        let decision = {
+            let now = self.now();
             let mut cores = self.cores();
             if theirs.config > held.config {
-                cores.behind_since.get_or_insert(self.now());
+                cores.behind_since.get_or_insert(now);
             }
             let member = cores.directory.get(vm);
             let local = member.is_some_and(|it| it.data_centre == self.settings.data_centre);
-            (cores.sampled(), local)
+            let near = held.config == 0 || (cores.sampled() && local);
+            cores.fetches.heard(now, near)
+        };
+        let wait = match decision {
+            Fetch::Now => Duration::ZERO,
+            Fetch::After(wait) => wait,
+            Fetch::Leave => return,
         };
-        let at_once = held.config == 0 || (sampled && local);
-        if at_once && self.cores().fetching {
-            return;
-        }
         let (node, vm) = (Arc::clone(self), vm.clone());
         task::spawn(async move {
-            if !at_once {
-                task::sleep(FETCH_AFTER).await;
+            task::sleep(wait).await;
+            let newer = theirs.newer_than(node.versions());
+            if newer && node.cores().fetches.begin(node.now(), &vm) {
+                node.fetch(&vm).await;
+                node.cores().fetches.ended(&vm);
             }
-            if !theirs.newer_than(node.versions()) || !node.begin_fetch() {
-                return;
-            }
-            node.fetch(&vm).await;
-            node.cores().fetching = false;
         });
     }
 
-    /// Returns whether no other daemon is being asked, and notes that one is.
-    fn begin_fetch(&self) -> bool {
-        !std::mem::replace(&mut self.cores().fetching, true)
-    }
-
     async fn fetch(self: &Arc<Self>, vm: &EndpointId) {
         let Some(member) = self.cores().directory.get(vm).cloned() else { return };
         let began = self.now();
