Try a version at one backend server of a small deployment

Change: where the share is less than half of a backend server of the data centre, the part is taken among those of all data centres. small_deployment_tries_a_version_at_one_backend_server failed before (three servers for three data centres).

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -438,7 +438,8 @@
     }
 
     /// Returns the VMs whose backend servers try a version: a part of those in the own data centre,
-    /// or else of all. All daemons of a data centre take the same ones.
+    /// or of all where that would be less than half of one. All daemons of a data centre take the
+    /// same ones.
     fn on_trial<'a>(
         &'a self,
         now: Time,
@@ -448,8 +449,9 @@
     ) -> SmallVec<[&'a EndpointId; 8]> {
         let of_group = |it: &&Candidate| it.server.group == *group;
         let here = |it: &&Candidate| it.member.data_centre == self.here;
-        let any_here = self.open(now, ask).filter(of_group).any(|it| here(&it));
-        let tried = self.open(now, ask).filter(of_group).filter(|it| !any_here || here(it));
+        let count = self.open(now, ask).filter(of_group).filter(here).count();
+        let local = count as f64 * part >= 0.5;
+        let tried = self.open(now, ask).filter(of_group).filter(|it| !local || here(it));
         let mut vms: SmallVec<[&EndpointId; 8]> = tried.map(|it| &it.member.vm).collect();
         vms.sort_unstable_by_key(|it| xxh3_64(it.as_str().as_bytes()));
         vms.truncate(((vms.len() as f64 * part) as usize).max(1));
--- a/crates/fleet/tests/suite/placement.rs
+++ b/crates/fleet/tests/suite/placement.rs
@@ -294,3 +294,21 @@
     let choice = placement.choose(at(61), &mut rng(1), &ask, &mut Attempt::default());
     assert!(["a1", "a2"].contains(&chosen(&choice)), "{choice:?}");
 }
+
+/// Guards against a small deployment in which each data centre has a backend server of its own on
+/// trial, so that none has a load.
+#[test]
+fn small_deployment_tries_a_version_at_one_backend_server() {
+    let all = [("a1", "a"), ("a2", "a"), ("b1", "b"), ("b2", "b"), ("c1", "c"), ("c2", "c")];
+    let split = Split::Trial { group: group("v1"), part: 0.07 };
+    let ask = Ask { split, ..ask(at(0)) };
+    let mut taken = Vec::new();
+    for here in ["a", "b", "c"] {
+        // The placement takes its own data centre from the names.
+        let rename = |name: &'static str| if name == here { "a" } else { "other" };
+        let vms: Vec<(&str, &str)> = all.iter().map(|(vm, centre)| (*vm, rename(centre))).collect();
+        let choice = choose(&mut placement(&vms), &ask, &mut Attempt::default());
+        taken.push(chosen(&choice).to_owned());
+    }
+    assert!(taken.iter().all(|it| *it == taken[0]), "{taken:?}");
+}
