Give backend servers on trial about their usual load, and split the placement

Of 12 backend servers in a data centre, a share of 0.15 took one (1.8 rounded down), with 1.8 times its usual load: a good version may look slow for that reason. The number is now the nearest one. backend_servers_on_trial_have_about_their_usual_load is new (one server before, two now).

The time that a daemon is behind is compared with the configuration in force under the lock, since it may have come meanwhile.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 mod candidate;
 mod configuration;
 mod directory;
+mod eligible;
 mod fetch;
 mod neighbours;
 mod placement;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -7,9 +7,7 @@
 use std::{collections::BTreeMap, collections::HashMap, sync::Arc, time::Duration};
 
 use rand::{Rng, RngExt};
-use shallottack_kernel::{DataCentre, EndpointId, ErrorKind, GroupName, Run, ServiceName, Time};
-use smallvec::SmallVec;
-use xxhash_rust::xxh3::xxh3_64;
+use shallottack_kernel::{DataCentre, EndpointId, ErrorKind, Run, ServiceName, Time};
 
 use crate::{
     Ask, Attempt, Budget, Choice, Load, Member, Next, Outcome, Report, Split,
@@ -93,8 +91,8 @@
 pub struct Placement {
     settings: PlacementSettings,
     me: EndpointId,
-    here: DataCentre,
-    candidates: BTreeMap<EndpointId, Candidate>,
+    pub(crate) here: DataCentre,
+    pub(crate) candidates: BTreeMap<EndpointId, Candidate>,
     /// Mean run time of each route in seconds.
     costs: HashMap<Arc<str>, f64>,
     /// Mean size of the requests and responses of each route in kilobytes.
@@ -408,56 +406,6 @@
             && self.budget.repeat(now, &ask.service, self.daemons)
     }
 
-    fn others(&self, now: Time, ask: &Ask, attempt: &Attempt) -> bool {
-        self.usable(now, ask, false).any(|it| !attempt.tried.contains(&it.member.vm))
-    }
-
-    /// Returns the candidates of a service that may be sent to, by version if possible; `trial`
-    /// states whether a version on trial may be among them.
-    fn usable<'a>(
-        &'a self,
-        now: Time,
-        ask: &'a Ask,
-        trial: bool,
-    ) -> impl Iterator<Item = &'a Candidate> {
-        let on_trial = match &ask.split {
-            Split::Trial { group, part } if trial => Some(self.on_trial(now, ask, group, *part)),
-            _ => None,
-        };
-        let strict = on_trial.is_some() || ask.split.strict();
-        let fits = move |it: &Candidate| match &on_trial {
-            Some(vms) => vms.contains(&&it.member.vm),
-            None => ask.split.allows(&it.server.group),
-        };
-        let any = !strict && !self.open(now, ask).any(&fits);
-        self.open(now, ask).filter(move |it| any || fits(it))
-    }
-
-    fn open<'a>(&'a self, now: Time, ask: &'a Ask) -> impl Iterator<Item = &'a Candidate> {
-        self.candidates.values().filter(move |it| it.server.service == ask.service && it.open(now))
-    }
-
-    /// Returns the VMs whose backend servers try a version: a part of those in the own data centre,
-    /// or of all where that would be less than half of one. All daemons of a data centre take the
-    /// same ones.
-    fn on_trial<'a>(
-        &'a self,
-        now: Time,
-        ask: &'a Ask,
-        group: &GroupName,
-        part: f64,
-    ) -> SmallVec<[&'a EndpointId; 8]> {
-        let of_group = |it: &&Candidate| it.server.group == *group;
-        let here = |it: &&Candidate| it.member.data_centre == self.here;
-        let count = self.open(now, ask).filter(of_group).filter(here).count();
-        let local = count as f64 * part >= 0.5;
-        let tried = self.open(now, ask).filter(of_group).filter(|it| !local || here(it));
-        let mut vms: SmallVec<[&EndpointId; 8]> = tried.map(|it| &it.member.vm).collect();
-        vms.sort_unstable_by_key(|it| xxh3_64(it.as_str().as_bytes()));
-        vms.truncate(((vms.len() as f64 * part) as usize).max(1));
-        vms
-    }
-
     /// Returns the VM with the lowest expected time to the end of the run, among those where the
     /// request is expected to wait for no more than a part of its spare time.
     fn best(
@@ -593,21 +541,3 @@
         _ => kind,
     }
 }
-
-impl Split {
-    /// Returns whether a version may run the request.
-    fn allows(&self, group: &GroupName) -> bool {
-        match self {
-            Split::Any => true,
-            Split::Only(only) => group == only,
-            Split::Trial { group: other, .. } | Split::Except { group: other, .. } => {
-                group != other
-            }
-        }
-    }
-
-    /// Returns whether the request is rejected rather than run by another version.
-    fn strict(&self) -> bool {
-        matches!(self, Split::Except { strict: true, .. })
-    }
-}
--- a/crates/fleet/tests/suite/placement.rs
+++ b/crates/fleet/tests/suite/placement.rs
@@ -295,6 +295,21 @@
     assert!(["a1", "a2"].contains(&chosen(&choice)), "{choice:?}");
 }
 
+/// Guards against a backend server on trial that gets nearly twice its usual load, and is slow for
+/// that reason.
+#[test]
+fn backend_servers_on_trial_have_about_their_usual_load() {
+    let all = [("a1", "a"), ("a2", "a"), ("a3", "a"), ("a4", "a"), ("a5", "a"), ("a6", "a")];
+    let mut placement = placement(&all);
+    let split = Split::Trial { group: group("v1"), part: 0.3 };
+    let ask = Ask { split, ..ask(at(0)) };
+    let mut choose = || choose(&mut placement, &ask, &mut Attempt::default());
+    let mut taken: Vec<String> = (0..4).map(|_| chosen(&choose()).to_owned()).collect();
+    taken.sort();
+    taken.dedup();
+    assert_eq!(taken.len(), 2, "{taken:?}");
+}
+
 /// Guards against a small deployment in which each data centre has a backend server of its own on
 /// trial, so that none has a load.
 #[test]
--- a/crates/sidecar/src/rollouts.rs
+++ b/crates/sidecar/src/rollouts.rs
@@ -60,7 +60,7 @@
         }
     }
 
-    /// Takes what a daemon counted, and notes it when it decides the move.
+    /// Changes the counts of a move, and notes it when they decide the move.
     pub fn judge(&self, rollout: &mut Rollout, reason: &str, change: impl FnOnce(&mut Rollout)) {
         let before = rollout.judgement();
         change(rollout);
--- a/crates/sidecar/src/sync.rs
+++ b/crates/sidecar/src/sync.rs
@@ -103,7 +103,8 @@
         let decision = {
             let now = self.now();
             let mut cores = self.cores();
-            if theirs.config > held.config {
+            // Read again, since it may have come meanwhile.
+            if theirs.config > self.config_row() {
                 cores.behind_since.get_or_insert(now);
             }
             let member = cores.directory.get(vm);
