--- a/crates/shallottackd/tests/suite/fleet.rs
+++ b/crates/shallottackd/tests/suite/fleet.rs
@@ -384,6 +384,24 @@
     drop(stock);
 }
 
+/// Guards against a route that is missing at a daemon that the store turns away, while others have
+/// it: it comes from one of them, as a difference.
+#[test]
+fn change_comes_from_another_daemon_when_the_store_refuses_this_one() {
+    let store = SiteStore::start().unwrap();
+    let view = store.view().unwrap();
+    store.put("op", "config", &configuration("00000001", &["/count/"]));
+    let shop = Vm::start("shop-1", "shop", view.address());
+    let _stock = Vm::start("stock-1", "stock", store.address());
+    eventually("a request is served", || shop.get("/count/1", "warm").status == 200);
+    view.set_down(true);
+    store.put("op", "config", &configuration("00000002", &["/count/", "/late/"]));
+    eventually("the new route is in force", || shop.get("/late/1", "l1").status == 200);
+    assert!(shop.metric("shallottack_fetches_total{outcome=\"config\"}") > 0);
+    store.put("op", "config", &configuration("00000003", &["/late/"]));
+    eventually("the old route is gone", || shop.get("/count/1", "c1").status == 404);
+}
+
 /// Guards against a planned stop that cuts a request, or a daemon that counts as ready meanwhile.
 #[test]
 fn planned_stop_finishes_requests() {
--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -6,4 +6,4 @@
 
 pub use http::{Received, Reply, exchange};
 pub use server::{Answering, SiteServer};
-pub use store::SiteStore;
+pub use store::{SiteStore, StoreView};
--- a/crates/standins/src/site/store.rs
+++ b/crates/standins/src/site/store.rs
@@ -4,7 +4,10 @@
     collections::BTreeMap,
     io,
     net::SocketAddr,
-    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Condvar, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering::SeqCst},
+    },
     time::{Duration, Instant},
 };
 
@@ -61,6 +64,23 @@
         STANDARD.decode(value.as_ref()?).ok()
     }
 
+    /// Opens another address of the store, which can refuse those who use it while the others are
+    /// served.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system when no port can be opened.
+    pub fn view(&self) -> io::Result<StoreView> {
+        let (served, down) = (Arc::clone(&self.state), Arc::<AtomicBool>::default());
+        let refuses = Arc::clone(&down);
+        let address = serve(move |request| {
+            let answer = answer(&served, &request);
+            // Looked at last, so that a feed that waited does not tell what is new.
+            if refuses.load(SeqCst) { reply(503, &json!({})) } else { answer }
+        })?;
+        Ok(StoreView { address, down })
+    }
+
     /// Refuses all calls of daemons while `down`.
     pub fn set_down(&self, down: bool) {
         lock(&self.state).down = down;
@@ -68,6 +88,24 @@
     }
 }
 
+/// Another address of a store.
+pub struct StoreView {
+    address: SocketAddr,
+    down: Arc<AtomicBool>,
+}
+
+impl StoreView {
+    /// Returns the address that it serves.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Refuses all calls at this address while `down`.
+    pub fn set_down(&self, down: bool) {
+        self.down.store(down, SeqCst);
+    }
+}
+
 fn lock(state: &(Mutex<State>, Condvar)) -> MutexGuard<'_, State> {
     state.0.lock().unwrap_or_else(PoisonError::into_inner)
 }
