Try a version in each data centre of a small deployment again

Cause: with nine backend servers the whole fleet tried the version at a single one, so that a fault of that server counted as the version's. One of each data centre gives three.

--- a/crates/fleet/src/eligible.rs
+++ b/crates/fleet/src/eligible.rs
@@ -41,8 +41,7 @@
     }
 
     /// Returns the VMs whose backend servers try a version: a part of those in the own data centre,
-    /// or of all where that would be less than half of one. All daemons of a data centre take the
-    /// same ones.
+    /// or of all where there is none. All daemons of a data centre take the same ones.
     fn on_trial<'a>(
         &'a self,
         now: Time,
@@ -52,9 +51,8 @@
     ) -> SmallVec<[&'a EndpointId; 8]> {
         let of_group = |it: &&Candidate| it.server.group == *group;
         let here = |it: &&Candidate| it.member.data_centre == self.here;
-        let count = self.open(now, ask).filter(of_group).filter(here).count();
-        let local = count as f64 * part >= 0.5;
-        let tried = self.open(now, ask).filter(of_group).filter(|it| !local || here(it));
+        let any_here = self.open(now, ask).filter(of_group).any(|it| here(&it));
+        let tried = self.open(now, ask).filter(of_group).filter(|it| !any_here || here(it));
         let mut vms: SmallVec<[&EndpointId; 8]> = tried.map(|it| &it.member.vm).collect();
         vms.sort_unstable_by_key(|it| xxh3_64(it.as_str().as_bytes()));
         // The nearest number, so that their load is about that of all in the end.
