Log what a backend server states about itself

The log did not show whether the limit was unknown, forgotten or divided. Change: the headers of rate limit and leaving are decoded, and each change of what the backend server states is logged as notice. No decision uses them.

--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -11,6 +11,7 @@
 use http::{HeaderMap, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{Builder, SendRequest};
+use shallottack_fleet::RateLimit;
 use shallottack_http::{ConnectionGuard, spawn_connection};
 use shallottack_kernel::EndpointId;
 use shallottack_site::headers;
@@ -56,6 +57,21 @@
     pub idempotent: bool,
 }
 
+/// What a backend server states about itself in a response.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Notice {
+    /// Rate limit, `None` if it has none, or why the stated one is invalid.
+    pub rate_limit: Result<Option<RateLimit>, String>,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+impl Default for Notice {
+    fn default() -> Self {
+        Notice { rate_limit: Ok(None), leaving: false }
+    }
+}
+
 /// A complete response of the backend server.
 #[derive(Debug)]
 pub struct BackendResponse {
@@ -65,6 +81,8 @@
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
+    /// What the backend server states about itself.
+    pub notice: Notice,
 }
 
 /// Outcome of a request to the backend server.
@@ -73,7 +91,7 @@
     /// A complete response arrived.
     Answered(BackendResponse),
     /// The backend server stated that it did not run the request.
-    NotRun(StatusCode),
+    NotRun(StatusCode, Notice),
     /// The request was not sent.
     Unsent(String),
     /// The request was sent, but the response was lost, malformed or belongs to another request.
@@ -219,7 +237,7 @@
         }
         if headers::not_run(status.as_u16(), &response.headers) {
             self.release(connection, idle);
-            return ExchangeOutcome::NotRun(status);
+            return ExchangeOutcome::NotRun(status, response.notice);
         }
         if status.is_success() && !response.headers.contains_key(headers::SIGNATURE) {
             self.mark_desynced();
@@ -278,8 +296,12 @@
         None => DEFAULT_IDLE_TIMEOUT,
     };
     let body = read_body(body).await?;
+    let notice = Notice {
+        rate_limit: headers::rate_limit(&head.headers),
+        leaving: headers::leaving(&head.headers),
+    };
     headers::strip_connection_headers(&mut head.headers);
-    Ok((BackendResponse { status: head.status, headers: head.headers, body }, idle))
+    Ok((BackendResponse { status: head.status, headers: head.headers, body, notice }, idle))
 }
 
 /// Reads a complete body into one contiguous buffer, since retaining many small chunks takes
--- a/crates/sidecar/src/events.rs
+++ b/crates/sidecar/src/events.rs
@@ -89,6 +89,13 @@
         slots: u32,
         reason: &'a str,
     },
+    Notice {
+        id: &'a str,
+        server: &'a str,
+        limit_per_s: Option<f64>,
+        leaving: bool,
+        invalid: &'a str,
+    },
     Published {
         sequence: u64,
         row: u64,
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -13,15 +13,15 @@
 use async_std::channel::{Receiver, Sender, bounded};
 use shallottack_fleet::{
     Arrival, Configuration, Directory, FetchTracker, Link, Load, LocalServer, Member, MergeResult,
-    NeighbourSettings, Neighbours, Placement, RejectedCallers, RetryBudget, RetryBudgetSettings,
-    Rollout, Slots, TaskId, Ticket, Tickets, Wake, is_store_reader,
+    NeighbourSettings, Neighbours, Placement, RateLimit, RejectedCallers, RetryBudget,
+    RetryBudgetSettings, Rollout, Slots, TaskId, Ticket, Tickets, Wake, is_store_reader,
 };
 use shallottack_kernel::{Clock, EndpointId, ServiceName, SystemClock, Time};
 use shallottack_rpc::FleetPeers;
 use shallottack_site::configuration;
 
 use crate::{
-    backend::BackendClient,
+    backend::{BackendClient, Notice},
     config_history::{ConfigHistory, StoredConfig},
     events::{Event, EventLog},
     message::OrderRow,
@@ -72,6 +72,8 @@
     pub neighbours: Neighbours,
     /// Channels that report to each queued request whether it got a slot or was rejected.
     waiters: HashMap<TaskId, Sender<SlotDecision>>,
+    /// What the backend server last stated about itself.
+    notice: Notice,
     /// Until when the backend server is considered down.
     backend_down_until: Option<Time>,
 }
@@ -146,6 +148,7 @@
             behind_since: None,
             neighbours: Neighbours::default(),
             waiters: HashMap::new(),
+            notice: Notice::default(),
             backend_down_until: None,
         };
         Arc::new(Node {
@@ -350,6 +353,23 @@
         self.shared().slots.lowest_ticket(now, &arrival)
     }
 
+    /// Records what the backend server stated about itself in its response to the request `id`.
+    pub fn record_notice(&self, id: &str, notice: &Notice) {
+        let mut shared = self.shared();
+        if shared.notice == *notice {
+            return;
+        }
+        shared.notice = notice.clone();
+        let limit = notice.rate_limit.as_ref().ok().copied().flatten();
+        self.events.write(&Event::Notice {
+            id,
+            server: shared.local.server().map_or("", |it| it.id.as_str()),
+            limit_per_s: limit.map(RateLimit::rate),
+            leaving: notice.leaving,
+            invalid: notice.rate_limit.as_ref().err().map_or("", String::as_str),
+        });
+    }
+
     /// Records that the backend server refused a connection.
     pub fn backend_refused(&self) {
         self.shared().backend_down_until = Some(self.now() + BACKEND_HOLDOFF);
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -11,7 +11,7 @@
 use shallottack_rpc::{FleetHandler, Frame, PROTOCOL};
 
 use crate::{
-    backend::{BackendRequest, ExchangeOutcome},
+    backend::{BackendRequest, BackendResponse, ExchangeOutcome},
     events::Event,
     in_progress::InProgressGuard,
     message::{RunOutcome, RunReply, RunRequest, decode, encode},
@@ -127,11 +127,16 @@
     metrics::histogram!("shallottack_backend_seconds").record(run.as_secs_f64());
     let (outcome, status, reason) = match &exchange {
         ExchangeOutcome::Answered(response) => ("answered", response.status.as_u16(), ""),
-        ExchangeOutcome::NotRun(status) => ("not-run", status.as_u16(), ""),
+        ExchangeOutcome::NotRun(status, _) => ("not-run", status.as_u16(), ""),
         ExchangeOutcome::Unsent(reason) => ("unsent", 0, reason.as_str()),
         ExchangeOutcome::Broken(reason) => ("broken", 0, reason.as_str()),
         ExchangeOutcome::TimedOut => ("timed-out", 0, ""),
     };
+    if let ExchangeOutcome::Answered(BackendResponse { notice, .. })
+    | ExchangeOutcome::NotRun(_, notice) = &exchange
+    {
+        node.record_notice(&id, notice);
+    }
     let run_ms = run.as_millis() as u64;
     node.events.write(&Event::Ran { id: &id, outcome, status, run_ms, reason });
     match exchange {
@@ -140,7 +145,7 @@
             let headers = encode_headers(&response.headers);
             (RunOutcome::Answered { status: response.status.as_u16(), headers, run }, response.body)
         }
-        ExchangeOutcome::NotRun(_) => (RunOutcome::Shed, Bytes::new()),
+        ExchangeOutcome::NotRun(..) => (RunOutcome::Shed, Bytes::new()),
         ExchangeOutcome::Unsent(_) => {
             node.backend_refused();
             (
--- a/crates/sidecar/tests/suite/events.rs
+++ b/crates/sidecar/tests/suite/events.rs
@@ -58,6 +58,13 @@
             slots: 12,
             reason: "heartbeat",
         },
+        Event::Notice {
+            id: "r1",
+            server: "i-1",
+            limit_per_s: Some(2.5),
+            leaving: true,
+            invalid: "",
+        },
         Event::Rollout {
             service: "desk",
             to: "v2",
