Send nothing to a backend server whose response states that it is leaving

What callers would see: requests at a server that has stated in its responses that it leaves, beyond the drain time, from a daemon that delivered such a response. Cause: the header was passed on and reached no decision, the same class as the rate limit. A daemon that starts again also took a late heartbeat of a draining server for that of a ready one. Why it works: the daemon beside the server starts its drain with the statement, each daemon that delivered such a response keeps it for that incarnation whatever others describe, and a daemon that starts again takes the drain over from its earlier row.

--- a/crates/fleet/src/attempt.rs
+++ b/crates/fleet/src/attempt.rs
@@ -5,7 +5,7 @@
 use shallottack_kernel::{EndpointId, ErrorKind, ServiceName, Time};
 use smallvec::SmallVec;
 
-use crate::{Load, Ticket, VersionFilter};
+use crate::{Load, Server, Ticket, VersionFilter};
 
 /// A request that needs a backend server.
 #[derive(Debug, Clone)]
@@ -52,8 +52,8 @@
         vm: EndpointId,
         /// Address of its daemon.
         address: SocketAddr,
-        /// Identifier of the backend server expected on the VM.
-        server: EndpointId,
+        /// Backend server expected on the VM.
+        server: Server,
         /// Whether the request may wait there for a slot.
         may_wait: bool,
         /// Last reported load of the backend server, which the decision used.
--- a/crates/fleet/src/eligible.rs
+++ b/crates/fleet/src/eligible.rs
@@ -54,6 +54,7 @@
         self.candidates
             .values()
             .filter(move |it| it.server.service == request.service && it.is_available(now))
+            .filter(|it| !self.is_leaving(it))
     }
 
     /// Returns the VMs of the canaries of a version: a fraction of its backend servers in this data
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 mod directory;
 mod eligible;
 mod fetch;
+mod leaving;
 mod link;
 mod neighbours;
 mod placement;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -13,8 +13,9 @@
 
 use crate::{
     Choice, Load, LoadReport, Member, Next, Outcome, PlacementRequest, RetryBudget, SendHistory,
-    Ticket, VersionFilter,
+    Server, Ticket, VersionFilter,
     candidate::{Candidate, Gate, Reach, initial_load, with_known_pace},
+    leaving::Leaving,
     slots::{DEFAULT_RUN, MIN_RETRY},
 };
 
@@ -110,6 +111,7 @@
     run_times: HashMap<Arc<str>, f64>,
     /// Mean size of the requests and responses of each route in kilobytes.
     sizes: HashMap<Arc<str>, f64>,
+    leaving: Leaving,
     budget: RetryBudget,
     /// Daemons that share the budget.
     daemons: usize,
@@ -130,6 +132,7 @@
             candidates: BTreeMap::new(),
             run_times: HashMap::new(),
             sizes: HashMap::new(),
+            leaving: Leaving::default(),
             budget,
             daemons: 1,
         }
@@ -181,6 +184,16 @@
         }
     }
 
+    /// Records that a response stated that the backend server of a VM is leaving.
+    pub fn record_leaving(&mut self, now: Time, vm: &EndpointId, server: &Server) {
+        self.leaving.record(now, vm, server);
+    }
+
+    /// Returns whether the backend server of a candidate has stated that it is leaving.
+    pub(crate) fn is_leaving(&self, candidate: &Candidate) -> bool {
+        self.leaving.contains(&candidate.member.vm, &candidate.server)
+    }
+
     /// Removes the backend server of a member.
     pub fn remove_member(&mut self, vm: &EndpointId) {
         self.candidates.remove(vm);
@@ -358,7 +371,7 @@
         it.last_sent = now;
         Choice::Send {
             address: it.member.address,
-            server: it.server.id.clone(),
+            server: it.server.clone(),
             may_wait,
             load: it.load,
             age: now.since(it.load_time),
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -129,6 +129,17 @@
         ServerUpdate::Changed
     }
 
+    /// Processes a response in which the backend server states that it is leaving.
+    pub fn observe_leaving(&mut self, now: Time) -> ServerUpdate {
+        let Some(current) = &mut self.current else { return ServerUpdate::Stale };
+        current.draining_since.get_or_insert(now);
+        if current.server.state != ServerState::Ready {
+            return ServerUpdate::Unchanged;
+        }
+        current.server.state = ServerState::Draining;
+        ServerUpdate::Changed
+    }
+
     /// Returns the state of the backend server, or `None` before its first heartbeat.
     pub fn server(&self) -> Option<&Server> {
         self.current.as_ref().map(|it| &it.server)
--- a/crates/fleet/tests/suite/placement.rs
+++ b/crates/fleet/tests/suite/placement.rs
@@ -52,6 +52,29 @@
     assert_eq!(chosen(&choice), "a1");
 }
 
+/// Guards against requests for a server that has stated that it is leaving, after another daemon
+/// describes it as ready or its VM was no neighbour for a while, and against a later incarnation
+/// that is taken for it.
+#[test]
+fn leaving_is_forgotten_before_the_server_ends() {
+    let mut placement = placement(&[("a1", "a"), ("b1", "b")]);
+    let before = member("a1", "a", 1);
+    placement.record_leaving(at(0), &id("a1"), before.server.as_ref().unwrap());
+    placement.set_member(at(0), &member("a1", "a", 2));
+    let choice = choose(&mut placement, &request(at(0)), &mut SendHistory::default());
+    assert_eq!(chosen(&choice), "b1");
+    placement.remove_member(&id("a1"));
+    placement.set_member(at(0), &member("a1", "a", 3));
+    let choice = choose(&mut placement, &request(at(0)), &mut SendHistory::default());
+    assert_eq!(chosen(&choice), "b1");
+    let mut later = member("a1", "a", 4);
+    later.server.as_mut().unwrap().started_ms += 1;
+    placement.set_member(at(0), &later);
+    placement.record_load(at(0), &id("a1"), load(0, 0));
+    let choice = choose(&mut placement, &request(at(0)), &mut SendHistory::default());
+    assert_eq!(chosen(&choice), "a1");
+}
+
 /// Guards against a queue in one data centre while another one has free slots.
 #[test]
 fn busy_data_centre_is_avoided() {
--- a/crates/shallottackd/tests/suite/fleet.rs
+++ b/crates/shallottackd/tests/suite/fleet.rs
@@ -308,6 +308,22 @@
     });
 }
 
+/// Guards against requests for a backend server that has stated in a response that it is leaving,
+/// also after the daemon beside it has started again and has received a heartbeat that was late.
+#[test]
+fn leaving_server_gets_requests_from_those_who_know() {
+    let (_store, shop, mut stock) = fleet(&["stock-1", "stock-2"]);
+    stock[0].server.state_leaving();
+    let leaving = |it: &Received| it.header("server-leaving").is_some();
+    eventually("a response states it", || leaving(&shop.get("/count/1", "leaving")));
+    let before = stock[0].server.runs().len();
+    press(shop.callers, "left", PRESS_TIME);
+    assert_eq!(stock[0].server.runs().len(), before);
+    stock[0].restart();
+    press(shop.callers, "restarted", PRESS_TIME);
+    assert_eq!(stock[0].server.runs().len(), before, "after the restart");
+}
+
 /// Guards against an answer to another request reaching a caller.
 #[test]
 fn foreign_answer_is_not_passed_on() {
--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -11,7 +11,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request};
 use shallottack_fleet::{
     CallerKey, Choice, Configuration, Match, Next, Outcome, PlacementRequest, RateLimit, Route,
-    SendHistory, TaskId, VersionFilter,
+    SendHistory, Server, TaskId, VersionFilter,
 };
 use shallottack_http::{
     Application, ConnectionLimits, ERROR_HEADER, ParseError, RUN_HEADER, SizeLimits,
@@ -82,7 +82,7 @@
 struct Target {
     vm: EndpointId,
     address: SocketAddr,
-    server: EndpointId,
+    server: Server,
     may_wait: bool,
     rate_limit: Option<RateLimit>,
 }
@@ -305,7 +305,7 @@
                 return Err(Rejection { kind, retry_after, reason, ran: history.ran });
             }
         };
-        let vm = target.vm.clone();
+        let (vm, server) = (target.vm.clone(), target.server.clone());
         guard.sent_to = Some(vm.clone());
         let retry = history.arrivals > 0;
         let (outcome, response, reason) = send_to(node, call, target, retry).await;
@@ -321,6 +321,9 @@
             });
         }
         let mut shared = node.shared();
+        if response.as_ref().is_some_and(|it| headers::leaving(&it.headers)) {
+            shared.placement.record_leaving(ended, &vm, &server);
+        }
         if let Outcome::Answered { status, run, .. } = outcome {
             count_for_rollout(node, &mut shared, call, &vm, status, run);
         }
@@ -384,7 +387,7 @@
     let left = call.placement.deadline.since(now);
     let request = RunRequest {
         id: call.id.clone(),
-        server: target.server,
+        server: target.server.id.clone(),
         caller: node.settings.service.clone(),
         route: Arc::clone(&call.route.name),
         priority: call.route.priority,
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -14,7 +14,8 @@
 use shallottack_fleet::{
     Arrival, Configuration, Directory, FetchTracker, Link, Load, LocalServer, Member, MergeResult,
     NeighbourSettings, Neighbours, Placement, RateLimit, RejectedCallers, RetryBudget,
-    RetryBudgetSettings, Rollout, Slots, TaskId, Ticket, Tickets, Wake, is_store_reader,
+    RetryBudgetSettings, Rollout, ServerUpdate, Slots, TaskId, Ticket, Tickets, Wake,
+    is_store_reader,
 };
 use shallottack_kernel::{Clock, EndpointId, ServiceName, SystemClock, Time};
 use shallottack_rpc::FleetPeers;
@@ -361,7 +362,12 @@
             let wakes = shared.slots.set_rate_limit(now, limit);
             shared.wake(&wakes);
         }
-        if shared.notice == *notice {
+        let update = if notice.leaving {
+            shared.local.observe_leaving(now)
+        } else {
+            ServerUpdate::Unchanged
+        };
+        if shared.notice == *notice && update == ServerUpdate::Unchanged {
             return;
         }
         shared.notice = notice.clone();
@@ -374,6 +380,10 @@
             leaving: notice.leaving,
             invalid: notice.rate_limit.as_ref().err().map_or("", String::as_str),
         });
+        drop(shared);
+        if update == ServerUpdate::Changed {
+            self.server_changed("response");
+        }
     }
 
     /// Records that the backend server refused a connection.
--- a/crates/sidecar/src/publish.rs
+++ b/crates/sidecar/src/publish.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use async_std::task;
-use shallottack_fleet::Member;
+use shallottack_fleet::{Member, ServerState, ServerUpdate};
 use shallottack_site::store::{Store, StoreError, Written};
 
 use crate::{
@@ -53,6 +53,7 @@
                 let Some(row) = row else { return 0 };
                 let earlier = row.value.as_deref().map(decode::<Member>);
                 if let Some(Ok(earlier)) = earlier {
+                    restore_leave(node, &earlier);
                     node.update_own(|own| {
                         own.incarnation = own.incarnation.max(earlier.incarnation + 1);
                     });
@@ -67,6 +68,17 @@
     }
 }
 
+/// Takes over from an earlier daemon on this VM that the backend server is leaving, since a late
+/// heartbeat may still state that it is ready.
+fn restore_leave(node: &Node, earlier: &Member) {
+    let leaving = earlier.server.as_ref().filter(|it| it.state != ServerState::Ready);
+    let Some(server) = leaving else { return };
+    let update = node.shared().local.leave(node.now(), &server.id, Some(server.started_ms));
+    if update == ServerUpdate::Changed {
+        node.server_changed("earlier daemon");
+    }
+}
+
 /// Sends the current description to the other daemons, writes it and returns the version of the
 /// row.
 ///
