Log the era of the store and configurations that are not newer

Change: each watcher logs when the store states another era, and a configuration with a lower row than the held one is logged. No decision changed.

--- a/crates/sidecar/src/events.rs
+++ b/crates/sidecar/src/events.rs
@@ -60,6 +60,11 @@
         bytes: usize,
         ms: u64,
     },
+    ConfigIgnored {
+        version: u64,
+        row: u64,
+        held: u64,
+    },
     ConfigRejected {
         row: u64,
         reason: &'a str,
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -101,6 +101,7 @@
         table,
         store,
         version: None,
+        era: 0,
         backoff: Backoff::new(),
         reachable: None,
         settled: false,
@@ -120,6 +121,8 @@
     store: Store,
     /// Version of the store up to which changes were read; `None` before the first read.
     version: Option<u64>,
+    /// Era of the store in its last answer.
+    era: u64,
     backoff: Backoff,
     /// Whether the last request succeeded.
     reachable: Option<bool>,
@@ -138,6 +141,12 @@
             }
         };
         let polled = self.version.is_some();
+        let era = self.store.era();
+        if era != self.era {
+            let reason = format!("era {era} after {}", self.era);
+            self.node.events.write(&Event::Store { table: name, state: "era", reason: &reason });
+            self.era = era;
+        }
         match read {
             Ok(rows) => {
                 self.apply(&rows);
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -231,7 +231,14 @@
 
     /// Applies a configuration unless the current one is as new or newer.
     pub fn apply_config(self: &Arc<Self>, stored: &StoredConfig, source: &str) {
-        if stored.row <= self.config_row() {
+        let held = self.config_row();
+        if stored.row < held
+            && let Ok(ignored) = configuration::decode(stored.row, &stored.bytes)
+        {
+            let (version, row) = (ignored.version, ignored.row_version);
+            self.events.write(&Event::ConfigIgnored { version, row, held });
+        }
+        if stored.row <= held {
             return;
         }
         match configuration::decode(stored.row, &stored.bytes) {
--- a/crates/sidecar/tests/suite/events.rs
+++ b/crates/sidecar/tests/suite/events.rs
@@ -58,6 +58,7 @@
             slots: 12,
             reason: "heartbeat",
         },
+        Event::ConfigIgnored { version: 5, row: 4, held: 7 },
         Event::Notice {
             id: "r1",
             server: "i-1",
