Order configurations by the operators' version

Cause: configurations were ordered by the version of their row. The restored store gives out versions again, so that a later change had the row of the held one or a lower one. Class: a number that another system assigns is taken for an order of events for longer than that system keeps it. Why it works: operators assign increasing versions in the document itself, which no restore changes. Daemons compare, state and fetch by it, so that an older copy is ignored and a later version is taken. The row in the config lines and in the metric gave way to the version.

--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -85,9 +85,8 @@
 /// One version of the operators' configuration.
 #[derive(Debug)]
 pub struct Configuration {
-    /// Version of the configuration's row in the store; a higher one is newer.
-    pub row_version: u64,
-    /// Version number that the operators assigned.
+    /// Version that the operators assigned; a higher one is newer. Unlike the version of the row,
+    /// it stays valid when the store is restored from an older copy.
     pub version: u64,
     /// Limits on callers.
     pub limits: Limits,
@@ -97,19 +96,14 @@
 
 impl Configuration {
     /// Creates a configuration from its routes and limits.
-    pub fn new(
-        row_version: u64,
-        version: u64,
-        routes: Vec<Route>,
-        limits: Limits,
-    ) -> Configuration {
+    pub fn new(version: u64, routes: Vec<Route>, limits: Limits) -> Configuration {
         let count = routes.len();
         let mut hosts: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>> = HashMap::new();
         for route in routes {
             let host = hosts.entry(Arc::clone(&route.host)).or_default();
             host.insert(Arc::clone(&route.prefix), Arc::new(route));
         }
-        Configuration { row_version, version, limits, hosts, count }
+        Configuration { version, limits, hosts, count }
     }
 
     /// Returns the number of routes.
--- a/crates/fleet/tests/suite/configuration.rs
+++ b/crates/fleet/tests/suite/configuration.rs
@@ -45,7 +45,7 @@
         route("two", "a.example", "/x/y/", &[("s", 1)]),
         route("other", "b.example", "/x/", &[("s", 1)]),
     ];
-    let routes = Configuration::new(1, 1, routes, limits);
+    let routes = Configuration::new(1, routes, limits);
     let paths = [
         ("a.example", "/x/y/z"),
         ("A.example:8080", "/x/y/"),
--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -59,7 +59,7 @@
     target: String,
     headers: Vec<(String, Vec<u8>)>,
     body: Bytes,
-    /// Row version of the configuration that routed the request.
+    /// Version of the configuration that routed the request.
     config: u64,
 }
 
@@ -241,7 +241,7 @@
         target,
         headers: relay::encode_headers(&head.headers),
         body,
-        config: config.row_version,
+        config: config.version,
         route,
     })
 }
@@ -564,7 +564,7 @@
         sends: 0,
         arrivals: 0,
         ms: node.now().since(began).as_millis() as u64,
-        config: node.config_row(),
+        config: node.config_version(),
     });
     error_response(id, kind, retry_after)
 }
--- a/crates/sidecar/src/config_history.rs
+++ b/crates/sidecar/src/config_history.rs
@@ -19,18 +19,18 @@
 /// An encoded configuration as stored by the platform.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StoredConfig {
-    /// Version of the row.
-    pub row: u64,
-    /// Value of the row.
+    /// Version of the configuration.
+    pub version: u64,
+    /// Value of its row in the store.
     pub bytes: Arc<[u8]>,
 }
 
 /// A compressed configuration, whole or as a delta.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CompressedConfig {
-    /// Version of the row.
-    pub row: u64,
-    /// Row version of the configuration that the delta is based on; `None` if it is whole.
+    /// Version of the configuration.
+    pub version: u64,
+    /// Version of the configuration that the delta is based on; `None` if it is whole.
     pub base: Option<u64>,
     /// Size of the uncompressed configuration in bytes.
     pub size: usize,
@@ -42,7 +42,7 @@
 #[derive(Debug, thiserror::Error)]
 pub enum DecompressError {
     /// The delta is based on a configuration that is not in the history.
-    #[error("delta base, row {0}, is not in the history")]
+    #[error("delta base, version {0}, is not in the history")]
     MissingBase(u64),
     /// The stated size in bytes exceeds the limit.
     #[error("stated size of {0} bytes exceeds the limit")]
@@ -71,7 +71,7 @@
         self.compressed.clear();
     }
 
-    /// Compresses the newest configuration for a daemon that holds row version `held`, 0 for none.
+    /// Compresses the newest configuration for a daemon that holds version `held`, 0 for none.
     ///
     /// Returns `None` if there is no configuration newer than `held`.
     ///
@@ -79,10 +79,10 @@
     ///
     /// Returns the error of the compressor.
     pub fn compress_newest(&mut self, held: u64) -> std::io::Result<Option<CompressedConfig>> {
-        let Some(newest) = self.kept.back().filter(|it| it.row > held) else { return Ok(None) };
-        let base = self.kept.iter().find(|it| it.row == held);
-        let base_row = base.map(|it| it.row);
-        if let Some(compressed) = self.compressed.iter().find(|it| it.base == base_row) {
+        let Some(newest) = self.kept.back().filter(|it| it.version > held) else { return Ok(None) };
+        let base = self.kept.iter().find(|it| it.version == held);
+        let base_version = base.map(|it| it.version);
+        if let Some(compressed) = self.compressed.iter().find(|it| it.base == base_version) {
             return Ok(Some(compressed.clone()));
         }
         let dictionary: &[u8] = base.map_or(&[], |it| &it.bytes);
@@ -90,8 +90,8 @@
         // Without a checksum, a wrong dictionary would produce wrong bytes without an error.
         compressor.include_checksum(true)?;
         let compressed = CompressedConfig {
-            row: newest.row,
-            base: base_row,
+            version: newest.version,
+            base: base_version,
             size: newest.bytes.len(),
             bytes: compressor.compress(&newest.bytes)?,
         };
@@ -113,14 +113,14 @@
             return Err(DecompressError::TooLarge(compressed.size));
         }
         let dictionary: &[u8] = match compressed.base {
-            Some(row) => {
-                let base = self.kept.iter().find(|it| it.row == row);
-                &base.ok_or(DecompressError::MissingBase(row))?.bytes
+            Some(version) => {
+                let base = self.kept.iter().find(|it| it.version == version);
+                &base.ok_or(DecompressError::MissingBase(version))?.bytes
             }
             None => &[],
         };
         let bytes = Decompressor::with_dictionary(dictionary)?
             .decompress(&compressed.bytes, compressed.size)?;
-        Ok(StoredConfig { row: compressed.row, bytes: bytes.into() })
+        Ok(StoredConfig { version: compressed.version, bytes: bytes.into() })
     }
 }
--- a/crates/sidecar/src/events.rs
+++ b/crates/sidecar/src/events.rs
@@ -47,7 +47,6 @@
     },
     Config {
         version: u64,
-        row: u64,
         routes: usize,
         source: &'a str,
         behind_ms: u64,
@@ -62,11 +61,11 @@
     },
     ConfigIgnored {
         version: u64,
-        row: u64,
         held: u64,
+        source: &'a str,
     },
     ConfigRejected {
-        row: u64,
+        source: &'a str,
         reason: &'a str,
     },
     Store {
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -12,7 +12,6 @@
 
 use crate::{
     backoff::Backoff,
-    config_history::StoredConfig,
     events::Event,
     message::{OrderRow, decode},
     node::Node,
@@ -215,8 +214,7 @@
 fn apply_operator_row(node: &Arc<Node>, row: &Row) {
     let Some(bytes) = &row.value else { return };
     if row.key == configuration::KEY {
-        let config = StoredConfig { row: row.version, bytes: bytes.as_slice().into() };
-        node.apply_config(&config, "store");
+        node.apply_config(bytes.as_slice().into(), "store");
     } else if rollout::is_rollout(&row.key) {
         let (key, bytes) = (row.key.clone(), bytes.clone());
         node.apply_order(&OrderRow { key, row: row.version, bytes });
--- a/crates/sidecar/src/message.rs
+++ b/crates/sidecar/src/message.rs
@@ -101,17 +101,17 @@
     pub bytes: Vec<u8>,
 }
 
-/// Versions of the operator rows held by a daemon, 0 for none.
+/// Versions of the configuration and the rollout orders held by a daemon, 0 for none.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Versions {
-    /// Row version of the configuration.
+    /// Version of the configuration.
     pub config: u64,
     /// Newest row version among the rollout orders.
     pub orders: u64,
 }
 
 impl Versions {
-    /// Returns whether any row is newer than the same row of `other`.
+    /// Returns whether any of them is newer than that of `other`.
     pub fn newer_than(self, other: Versions) -> bool {
         self.config > other.config || self.orders > other.orders
     }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -182,9 +182,9 @@
         self.config.load_full()
     }
 
-    /// Returns the row version of the current configuration, 0 for none.
-    pub fn config_row(&self) -> u64 {
-        self.config.load().as_ref().map_or(0, |it| it.row_version)
+    /// Returns the version of the current configuration, 0 for none.
+    pub fn config_version(&self) -> u64 {
+        self.config.load().as_ref().map_or(0, |it| it.version)
     }
 
     /// Returns whether this daemon polls the store for changes.
@@ -229,47 +229,39 @@
         TaskId(self.next_task_id.fetch_add(1, SeqCst))
     }
 
-    /// Applies a configuration unless the current one is as new or newer.
-    pub fn apply_config(self: &Arc<Self>, stored: &StoredConfig, source: &str) {
-        let held = self.config_row();
-        if stored.row < held
-            && let Ok(ignored) = configuration::decode(stored.row, &stored.bytes)
-        {
-            let (version, row) = (ignored.version, ignored.row_version);
-            self.events.write(&Event::ConfigIgnored { version, row, held });
-        }
-        if stored.row <= held {
-            return;
-        }
-        match configuration::decode(stored.row, &stored.bytes) {
-            Ok(configuration) => {
-                // Compares again under the lock, since the store and other daemons may offer
-                // configurations at the same time.
-                let mut shared = self.shared();
-                if stored.row <= self.config_row() {
-                    return;
-                }
-                let now = self.now();
-                let behind = now.since(shared.behind_since.take().unwrap_or(now));
-                metrics::histogram!("shallottack_config_behind_seconds")
-                    .record(behind.as_secs_f64());
-                self.events.write(&Event::Config {
-                    version: configuration.version,
-                    row: configuration.row_version,
-                    routes: configuration.len(),
-                    source,
-                    behind_ms: behind.as_millis() as u64,
-                });
-                metrics::gauge!("shallottack_config_row").set(configuration.row_version as f64);
-                self.config.store(Some(Arc::new(configuration)));
-                shared.configs.push(stored.clone());
-                drop(shared);
-                self.announce();
-            }
+    /// Applies an encoded configuration unless the current one is as new or newer.
+    pub fn apply_config(self: &Arc<Self>, bytes: Arc<[u8]>, source: &str) {
+        let configuration = match configuration::decode(&bytes) {
+            Ok(configuration) => configuration,
             Err(reason) => {
-                self.events.write(&Event::ConfigRejected { row: stored.row, reason: &reason });
+                self.events.write(&Event::ConfigRejected { source, reason: &reason });
+                return;
+            }
+        };
+        let version = configuration.version;
+        // Compared under the lock, since the store and other daemons may offer configurations at
+        // the same time.
+        let mut shared = self.shared();
+        if let Some(held) = self.config().map(|it| it.version).filter(|it| version <= *it) {
+            if version < held {
+                self.events.write(&Event::ConfigIgnored { version, held, source });
             }
+            return;
         }
+        let now = self.now();
+        let behind = now.since(shared.behind_since.take().unwrap_or(now));
+        metrics::histogram!("shallottack_config_behind_seconds").record(behind.as_secs_f64());
+        self.events.write(&Event::Config {
+            version,
+            routes: configuration.len(),
+            source,
+            behind_ms: behind.as_millis() as u64,
+        });
+        metrics::gauge!("shallottack_config_version").set(version as f64);
+        self.config.store(Some(Arc::new(configuration)));
+        shared.configs.push(StoredConfig { version, bytes });
+        drop(shared);
+        self.announce();
     }
 
     /// Applies the description of another daemon.
--- a/crates/sidecar/src/sync.rs
+++ b/crates/sidecar/src/sync.rs
@@ -112,7 +112,7 @@
             let mut shared = self.shared();
             // Compares again under the lock, since a configuration may have arrived in the
             // meantime.
-            if theirs.config > self.config_row() {
+            if theirs.config > self.config_version() {
                 shared.behind_since.get_or_insert(now);
             }
             let member = shared.directory.get(vm);
@@ -164,11 +164,10 @@
         if let Some(compressed) = &reply.config {
             let config = self.shared().configs.decompress(compressed);
             match config {
-                Ok(config) => self.apply_config(&config, "peer"),
+                Ok(config) => self.apply_config(config.bytes, "peer"),
                 Err(reason) => {
                     let reason = reason.to_string();
-                    self.events
-                        .write(&Event::ConfigRejected { row: compressed.row, reason: &reason });
+                    self.events.write(&Event::ConfigRejected { source: "peer", reason: &reason });
                 }
             }
         }
@@ -177,7 +176,7 @@
 
     /// Returns the versions of the operator rows held by this daemon.
     pub fn versions(&self) -> Versions {
-        Versions { config: self.config_row(), orders: self.shared().newest_order() }
+        Versions { config: self.config_version(), orders: self.shared().newest_order() }
     }
 
     /// Notifies some neighbours of newer operator rows, which they fetch and announce to theirs.
@@ -313,7 +312,7 @@
         let mut gossip = Gossip {
             own: shared.own.clone(),
             load: shared.load(now),
-            versions: Versions { config: self.config_row(), orders: shared.newest_order() },
+            versions: Versions { config: self.config_version(), orders: shared.newest_order() },
             evidence: shared.evidence(0),
             reports: Vec::new(),
             members: Vec::new(),
--- a/crates/sidecar/tests/suite/config_history.rs
+++ b/crates/sidecar/tests/suite/config_history.rs
@@ -8,8 +8,8 @@
 /// Returns a configuration with the format and size of a large deployment.
 ///
 /// The route at index `changed` has another timeout than the rest.
-fn stored_config(row: u64, routes: usize, changed: usize) -> StoredConfig {
-    let mut text = format!("{{\"version\":\"{row:08x}\",\"routes\":[");
+fn stored_config(version: u64, routes: usize, changed: usize) -> StoredConfig {
+    let mut text = format!("{{\"version\":\"{version:08x}\",\"routes\":[");
     for route in 0..routes {
         let name = (route as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         let timeout = if route == changed { 900 } else { 1_200 };
@@ -22,7 +22,7 @@
         )
         .unwrap();
     }
-    StoredConfig { row, bytes: Arc::from((text + "]}").into_bytes()) }
+    StoredConfig { version, bytes: Arc::from((text + "]}").into_bytes()) }
 }
 
 fn history(all: &[StoredConfig]) -> ConfigHistory {
@@ -37,7 +37,7 @@
 fn delta_of_small_change_is_small() {
     let (old, new) = (stored_config(7, 2_100, 0), stored_config(9, 2_100, 1_500));
     let compressed = history(&[old.clone(), new.clone()]).compress_newest(7).unwrap().unwrap();
-    assert_eq!((compressed.row, compressed.base), (9, Some(7)));
+    assert_eq!((compressed.version, compressed.base), (9, Some(7)));
     assert!(
         compressed.bytes.len() < 2_048,
         "{} of {} bytes",
@@ -65,11 +65,11 @@
 /// against the excessive size that a malformed message may state.
 #[test]
 fn delta_with_wrong_base_or_size_is_rejected() {
-    let all: Vec<StoredConfig> = (1..8).map(|row| stored_config(row, 50, row as usize)).collect();
+    let all: Vec<StoredConfig> = (1..8).map(|it| stored_config(it, 50, it as usize)).collect();
     let compressed = history(&all).compress_newest(6).unwrap().unwrap();
     let receiver = history(&all[..3]);
     assert!(matches!(receiver.decompress(&compressed), Err(DecompressError::MissingBase(6))));
-    let other = StoredConfig { row: 6, ..stored_config(6, 50, 49) };
+    let other = StoredConfig { version: 6, ..stored_config(6, 50, 49) };
     assert!(matches!(history(&[other]).decompress(&compressed), Err(DecompressError::Corrupt(_))));
     let huge =
         shallottack_sidecar::config_history::CompressedConfig { size: usize::MAX, ..compressed };
@@ -81,7 +81,7 @@
     #[test]
     fn any_bytes_round_trip(old in any::<Vec<u8>>(), new in any::<Vec<u8>>(), known: bool) {
         let (old, new) = (old.into(), new.into());
-        let (old, new) = (StoredConfig { row: 1, bytes: old }, StoredConfig { row: 2, bytes: new });
+        let (old, new) = (StoredConfig { version: 1, bytes: old }, StoredConfig { version: 2, bytes: new });
         let compressed = history(&[old.clone(), new.clone()])
             .compress_newest(u64::from(known))
             .unwrap()
--- a/crates/standins/src/site/store.rs
+++ b/crates/standins/src/site/store.rs
@@ -17,8 +17,17 @@
 
 use super::http::{Received, Reply, serve};
 
+/// Rows of a store at one moment.
+#[derive(Clone, Default)]
+pub struct StoreCopy {
+    rows: BTreeMap<(String, String), (u64, Option<String>)>,
+    version: u64,
+}
+
 #[derive(Default)]
 struct State {
+    /// Number of times that the store was restored.
+    era: u64,
     /// Version, then value, by table and key.
     rows: BTreeMap<(String, String), (u64, Option<String>)>,
     version: u64,
@@ -64,6 +73,20 @@
         STANDARD.decode(value.as_ref()?).ok()
     }
 
+    /// Returns a copy of the rows.
+    pub fn copy(&self) -> StoreCopy {
+        let state = lock(&self.state);
+        StoreCopy { rows: state.rows.clone(), version: state.version }
+    }
+
+    /// Returns to an earlier copy: later rows are gone, and their versions are given out again.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = lock(&self.state);
+        (state.rows, state.version) = (copy.rows.clone(), copy.version);
+        state.era += 1;
+        self.state.1.notify_all();
+    }
+
     /// Opens another address of the store, which can refuse those who use it while the others are
     /// served.
     ///
@@ -118,6 +141,14 @@
 }
 
 fn answer(state: &(Mutex<State>, Condvar), request: &Received) -> Reply {
+    let mut reply = answer_call(state, request);
+    if let Reply::Answer { headers, .. } = &mut reply {
+        headers.push(("store-era".to_owned(), lock(state).era.to_string()));
+    }
+    reply
+}
+
+fn answer_call(state: &(Mutex<State>, Condvar), request: &Received) -> Reply {
     let url = Url::parse("http://store").and_then(|it| it.join(&request.target));
     let Ok(url) = url else { return reply(400, &json!({})) };
     let pairs: BTreeMap<String, String> = url.query_pairs().into_owned().collect();
@@ -144,6 +175,9 @@
         if guard.down {
             return reply(503, &json!({}));
         }
+        if after > guard.version {
+            return reply(410, &json!({}));
+        }
         let body = rows(&guard, table, after, true);
         let left = end.saturating_duration_since(Instant::now());
         if body["rows"].as_array().is_some_and(|it| !it.is_empty()) || left.is_zero() {
