Keep rollouts when the store was restored from an older copy

What operators would see: after the store came back from an older copy, a running rollout begins again with a new schedule and no counts, an earlier order that was replaced runs again until the operators have written the current one, and the report of a finished rollout stays lost, so that it counts as unfinished. Cause: an order was identified by the version of its row, and a report is written once. Why it works: row versions are compared within one era. In a later era an order is known by its content: the current one keeps its state and counts, a replaced one is ignored, any other one is new. Reports are compared with orders of their own era only. A final report is written again by the daemons that follow the store unless it is read in the later era. Daemons state the newest order that they have read, also an ignored one, so that none fetches it again and again. Tests: order_read_from_a_restored_store_starts_again and evidence_is_kept_in_a_later_era are new; they test decisions that did not exist before, so that they can't run on the earlier code.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -36,8 +36,8 @@
 pub use rate::{Pace, RateLimit};
 pub use returns::{CallerKey, RejectedCallers, RejectedCallersSettings};
 pub use rollout::{
-    Counts, Evidence, Judgement, Rollout, RolloutOrder, RolloutSettings, RolloutState, Side, Step,
-    VersionFilter,
+    Counts, Evidence, Judgement, OrderRelation, Rollout, RolloutOrder, RolloutSettings,
+    RolloutState, Side, Step, VersionFilter,
 };
 pub use row_version::RowVersion;
 pub use server::{Heartbeat, LocalServer, Server, ServerState, ServerUpdate};
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -29,6 +29,24 @@
     pub within: Duration,
 }
 
+impl RolloutOrder {
+    /// Returns whether both order the same, whatever the version of their rows.
+    fn has_same_content(&self, other: &RolloutOrder) -> bool {
+        (&self.service, &self.to, self.within) == (&other.service, &other.to, other.within)
+    }
+}
+
+/// How an order that was read relates to the one that a rollout follows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderRelation {
+    /// The order is new and replaces the one that the rollout follows.
+    New,
+    /// The order is the same one in a later era of the store.
+    Same,
+    /// The order is known already, or was replaced before.
+    Known,
+}
+
 /// State of a rollout as reported to operators.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -199,6 +217,8 @@
 const FAILURE_RATIO: f64 = 4.0;
 /// Minimum number of responses of the old version for a reliable bad share.
 const MIN_COMPARED: u32 = 60;
+/// Number of replaced orders that are kept; a restored store shows one of the last.
+const MAX_REPLACED: usize = 8;
 /// Log-likelihood ratio needed for a bad judgement; reached by chance in one of a thousand
 /// rollouts.
 const MIN_LOG_RATIO: f64 = 7.0;
@@ -232,6 +252,10 @@
     order: RolloutOrder,
     started: Time,
     state: RolloutState,
+    /// Whether the store may have lost the report of the final state.
+    unreported: bool,
+    /// Earlier orders for the service, oldest first.
+    replaced: VecDeque<RolloutOrder>,
     own: Evidence,
     /// Evidence of other daemons by VM and incarnation.
     others: HashMap<(EndpointId, u64), Evidence>,
@@ -253,6 +277,8 @@
             order,
             started: now,
             state: RolloutState::Running,
+            unreported: false,
+            replaced: VecDeque::new(),
             own,
             others: HashMap::new(),
             sums: BTreeMap::new(),
@@ -262,6 +288,70 @@
         }
     }
 
+    /// Creates the rollout of a new order for the service, which starts now.
+    pub fn replace(&self, now: Time, order: RolloutOrder) -> Rollout {
+        let mut replaced = self.replaced.clone();
+        replaced.push_back(self.order.clone());
+        if replaced.len() > MAX_REPLACED {
+            replaced.pop_front();
+        }
+        Rollout { replaced, ..Rollout::new(self.settings, now, order) }
+    }
+
+    /// Returns how an order that was read relates to the current one.
+    ///
+    /// A store that was restored from an older copy shows replaced orders until the operators write
+    /// the current one again, with a row version that is not comparable to the earlier one.
+    pub fn relation(&self, order: &RolloutOrder) -> OrderRelation {
+        let (known, read) = (self.order.row_version, order.row_version);
+        if read <= known {
+            OrderRelation::Known
+        } else if read.era == known.era {
+            OrderRelation::New
+        } else if self.order.has_same_content(order) {
+            OrderRelation::Same
+        } else if self.replaced.iter().any(|it| it.has_same_content(order)) {
+            OrderRelation::Known
+        } else {
+            OrderRelation::New
+        }
+    }
+
+    /// Sets the version of the order's row in a later era of the store, which may have lost the
+    /// report of the final state.
+    pub fn set_row_version(&mut self, version: RowVersion) {
+        self.order.row_version = version;
+        self.own.row_version = version;
+        self.others.values_mut().for_each(|it| it.row_version = version);
+        self.unreported = self.state != RolloutState::Running;
+    }
+
+    /// Processes a state read from or written to the store.
+    ///
+    /// `version` is the version of its row. A report that is older than the order is about an
+    /// earlier rollout, and one of another era can't be compared with it; both are ignored. Returns
+    /// whether the state changed.
+    pub fn apply_report(
+        &mut self,
+        to: &GroupName,
+        state: RolloutState,
+        version: RowVersion,
+    ) -> bool {
+        if !self.is_current_report(to, version) {
+            return false;
+        }
+        self.unreported &= state == RolloutState::Running;
+        let before = self.state;
+        self.set_state(state);
+        self.state != before
+    }
+
+    /// Returns whether a report is about this rollout.
+    pub fn is_current_report(&self, to: &GroupName, version: RowVersion) -> bool {
+        let order = self.order.row_version;
+        self.order.to == *to && version.era == order.era && version > order
+    }
+
     /// Returns the order.
     pub fn order(&self) -> &RolloutOrder {
         &self.order
@@ -425,7 +515,7 @@
     /// Returns the next step, such as a state to report.
     pub fn step(&self, now: Time) -> Step {
         if self.state != RolloutState::Running {
-            return Step::Wait;
+            return if self.unreported { Step::Report(self.state) } else { Step::Wait };
         }
         if self.judgement == Judgement::Bad {
             return Step::Report(RolloutState::RolledBack);
--- a/crates/fleet/tests/suite/rollout.rs
+++ b/crates/fleet/tests/suite/rollout.rs
@@ -5,8 +5,8 @@
 use proptest::prelude::*;
 use rand::RngExt;
 use shallottack_fleet::{
-    Evidence, Judgement, Rollout, RolloutOrder, RolloutSettings, RolloutState, RowVersion, Side,
-    Step, VersionFilter,
+    Evidence, Judgement, OrderRelation, Rollout, RolloutOrder, RolloutSettings, RolloutState,
+    RowVersion, Side, Step, VersionFilter,
 };
 
 use crate::fixture::{at, group, id, ms, rng, service};
@@ -200,3 +200,55 @@
         ["vm-5", "vm-4"]
     );
 }
+
+/// Guards against a rollout that begins again, or goes back to an earlier order, after the store was
+/// restored from an older copy, and against a final state that stays unreported.
+#[test]
+fn order_read_from_a_restored_store_starts_again() {
+    let first = RolloutOrder { to: group("v1"), ..order() };
+    let second = RolloutOrder { row_version: RowVersion::new(1, 9), ..order() };
+    let mut rollout = Rollout::new(RolloutSettings::default(), at(0), first.clone());
+    assert_eq!(rollout.relation(&second), OrderRelation::New);
+    rollout = rollout.replace(at(0), second.clone());
+    rollout.set_state(RolloutState::RolledBack);
+    let in_era = |order: &RolloutOrder, era, number| RolloutOrder {
+        row_version: RowVersion::new(era, number),
+        ..order.clone()
+    };
+    // The copy has the first order; then the operators write the second one again.
+    assert_eq!(rollout.relation(&in_era(&first, 2, 3)), OrderRelation::Known);
+    let again = in_era(&second, 2, 4);
+    assert_eq!(rollout.relation(&again), OrderRelation::Same);
+    assert_eq!(rollout.step(at(0)), Step::Wait);
+    rollout.set_row_version(again.row_version);
+    assert_eq!(rollout.step(at(0)), Step::Report(RolloutState::RolledBack));
+    // Reports about an earlier order, and those of the era before, say nothing about this one.
+    for version in [RowVersion::new(2, 2), RowVersion::new(1, 20)] {
+        assert!(!rollout.is_current_report(&group("v2"), version));
+    }
+    assert!(!rollout.apply_report(&group("v2"), RolloutState::RolledBack, RowVersion::new(2, 5)));
+    assert_eq!(rollout.step(at(0)), Step::Wait);
+    let third = RolloutOrder { to: group("v3"), ..in_era(&second, 2, 6) };
+    assert_eq!(rollout.relation(&third), OrderRelation::New);
+    assert_eq!(rollout.relation(&in_era(&third, 1, 30)), OrderRelation::Known);
+}
+
+/// Guards against counts of other daemons that are lost when the order is read in a later era.
+#[test]
+fn evidence_is_kept_in_a_later_era() {
+    let mut rollout = Rollout::new(RolloutSettings::default(), at(0), order());
+    let mut other = Rollout::new(RolloutSettings::default(), at(0), order());
+    for _ in 0..20 {
+        other.record_answer(&Arc::from("count"), Side::Old, false, ms(50), false);
+    }
+    rollout.merge_evidence(&id("vm-1"), 1, other.evidence());
+    let later = RowVersion::new(2, 1);
+    rollout.set_row_version(later);
+    other.set_row_version(later);
+    assert_eq!(rollout.totals()[0].all, 20);
+    other.record_answer(&Arc::from("count"), Side::Old, false, ms(50), false);
+    rollout.merge_evidence(&id("vm-1"), 1, other.evidence());
+    assert_eq!(rollout.totals()[0].all, 21);
+    let forwarded = rollout.recent_evidence(1).next().map(|it| it.2.row_version);
+    assert_eq!(forwarded, Some(later));
+}
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -18,7 +18,7 @@
 use shallottack_fleet::{
     Arrival, Configuration, Directory, FetchTracker, Link, Load, LocalServer, Member, MergeResult,
     NeighbourSettings, Neighbours, Placement, RateLimit, RejectedCallers, RetryBudget,
-    RetryBudgetSettings, Rollout, ServerUpdate, Slots, TaskId, Ticket, Tickets, Wake,
+    RetryBudgetSettings, Rollout, RowVersion, ServerUpdate, Slots, TaskId, Ticket, Tickets, Wake,
     is_store_reader,
 };
 use shallottack_kernel::{Clock, EndpointId, ServiceName, SystemClock, Time};
@@ -70,6 +70,8 @@
     pub own: Member,
     /// Encoded rollout orders by service.
     pub orders: BTreeMap<ServiceName, OrderRow>,
+    /// Newest version among the rows of rollout orders that were read or fetched.
+    pub newest_order: RowVersion,
     /// Recent configurations, to send them to other daemons.
     pub configs: ConfigHistory,
     /// Requests for operator rows in progress.
@@ -153,6 +155,7 @@
             rollouts: BTreeMap::new(),
             own,
             orders: BTreeMap::new(),
+            newest_order: RowVersion::default(),
             configs: ConfigHistory::default(),
             fetches: FetchTracker::default(),
             behind_since: None,
--- a/crates/sidecar/src/rollouts.rs
+++ b/crates/sidecar/src/rollouts.rs
@@ -4,7 +4,9 @@
 
 use async_std::task;
 use rand::RngExt;
-use shallottack_fleet::{Rollout, RolloutOrder, RolloutSettings, RolloutState, RowVersion, Step};
+use shallottack_fleet::{
+    OrderRelation, Rollout, RolloutOrder, RolloutSettings, RolloutState, RowVersion, Step,
+};
 use shallottack_kernel::{GroupName, ServiceName, Time};
 use shallottack_site::{
     rollout::{STATUS_TABLE, decode_order, decode_status, encode_status, status_key},
@@ -38,14 +40,21 @@
         let service = order.service.clone();
         {
             let mut shared = self.shared();
-            if shared
-                .rollouts
-                .get(&service)
-                .is_some_and(|it| it.order().row_version >= order.row_version)
-            {
-                return;
-            }
-            let rollout = Rollout::new(RolloutSettings::default(), now, order);
+            let shared = &mut *shared;
+            shared.newest_order = shared.newest_order.max(row.row);
+            let rollout = match shared.rollouts.get_mut(&service) {
+                None => Rollout::new(RolloutSettings::default(), now, order),
+                Some(rollout) => match rollout.relation(&order) {
+                    OrderRelation::Known => return,
+                    OrderRelation::New => rollout.replace(now, order),
+                    OrderRelation::Same => {
+                        rollout.set_row_version(order.row_version);
+                        self.log_rollout(rollout, now, "restored");
+                        shared.orders.insert(service, row.clone());
+                        return;
+                    }
+                },
+            };
             self.log_rollout(&rollout, now, "ordered");
             shared.rollouts.insert(service.clone(), rollout);
             shared.orders.insert(service, row.clone());
@@ -54,8 +63,6 @@
     }
 
     /// Applies a rollout status reported by any daemon.
-    ///
-    /// A report older than the order is about an earlier rollout and is ignored.
     pub fn apply_status(
         &self,
         service: &ServiceName,
@@ -66,9 +73,7 @@
         let now = self.now();
         let mut shared = self.shared();
         let Some(rollout) = shared.rollouts.get_mut(service) else { return };
-        let current = rollout.order().to == *to && row > rollout.order().row_version;
-        if current && rollout.state() != state {
-            rollout.set_state(state);
+        if rollout.apply_report(to, state, row) {
             self.log_rollout(rollout, now, "reported");
         }
     }
@@ -127,12 +132,18 @@
     }
 }
 
-/// Returns the running rollouts with a state that is due to be reported.
+/// Returns the rollouts with a state that is due to be reported.
+///
+/// A report that the store may have lost is written again by the daemons that follow the store, so
+/// that the others need not read it.
 fn due_reports(node: &Node) -> Vec<(RolloutOrder, RolloutState)> {
     let now = node.now();
+    let reader = node.is_reader();
     let shared = node.shared();
-    let running = shared.rollouts.values().filter(|it| it.state() == RolloutState::Running);
-    running
+    shared
+        .rollouts
+        .values()
+        .filter(|it| reader || it.state() == RolloutState::Running)
         .filter_map(|it| match it.step(now) {
             Step::Report(state) => Some((it.order().clone(), state)),
             Step::Wait => None,
@@ -153,7 +164,12 @@
     let version = row.map_or(RowVersion::default(), |it| it.version);
     if let Some(bytes) = row.and_then(|it| it.value.as_deref()) {
         let (to, found) = decode_status(bytes)?;
-        if to == order.to && version > order.row_version && found != RolloutState::Running {
+        let current = {
+            let shared = node.shared();
+            let rollout = shared.rollouts.get(&order.service);
+            rollout.is_some_and(|it| it.is_current_report(&to, version))
+        };
+        if current && found != RolloutState::Running {
             node.apply_status(&order.service, &to, found, version);
             return Ok(());
         }
--- a/crates/sidecar/src/sync.rs
+++ b/crates/sidecar/src/sync.rs
@@ -164,6 +164,11 @@
         for order in &reply.orders {
             self.apply_order(order);
         }
+        {
+            // Also covers orders that the other daemon has read and ignored.
+            let mut shared = self.shared();
+            shared.newest_order = shared.newest_order.max(theirs.orders);
+        }
         if let Some(compressed) = &reply.config {
             let config = self.shared().configs.decompress(compressed);
             match config {
@@ -399,8 +404,7 @@
 
     /// Returns the versions of what the operators wrote, with that of the configuration.
     fn versions(&self, config: u64) -> Versions {
-        let orders = self.orders.values().map(|it| it.row).max().unwrap_or_default();
-        Versions { config, orders, era: self.era.unwrap_or_default() }
+        Versions { config, orders: self.newest_order, era: self.era.unwrap_or_default() }
     }
 
     /// Returns whether this daemon exchanges state only with a sample of the fleet.
