Trust a refusal only if it names the request

What callers would see: 429 for an order that runs or has run, which they then send again, or the order at a second server. Here it happened when the refusal bore no identifier, and when the server refused with 408, 429 or 503 without stating that the request had not run, since that status was passed on. Cause: a refusal was taken for that of the current request unless it named another one. Class: absence of evidence taken for a statement. Why it works: on a connection that has served a request, a refusal counts only if it names the current one. A request that was refused on a connection is not repeated on it, since a repeated refusal would name it rightly. A status that callers take for not run is an unknown outcome without that statement.

--- a/crates/shallottackd/tests/suite/fleet.rs
+++ b/crates/shallottackd/tests/suite/fleet.rs
@@ -241,7 +241,7 @@
 fn lost_order_runs_once_and_a_lost_count_is_repeated() {
     let (_store, shop, stock) = fleet(&["stock-1", "stock-2"]);
     for vm in &stock {
-        vm.server.answer(Answering::Lost);
+        vm.server.answer(Answering::Cut(""));
     }
     let before: usize = stock.iter().map(|it| it.server.runs().len()).sum();
     let request = request("POST", "/order/1", "o1");
@@ -335,6 +335,59 @@
     assert_eq!(answer.header("response-signature"), None);
 }
 
+/// Guards against a refusal of an earlier request that a faulty backend server writes once more: the
+/// request on the same connection has run, so that its caller must not be told otherwise, and an
+/// order must not run at a second server.
+#[test]
+fn stale_refusal_is_taken_for_the_current_request() {
+    let (_store, shop, stock) = fleet(&["stock-1", "stock-2"]);
+    let orders = || {
+        let runs = stock.iter().flat_map(|it| it.server.runs());
+        runs.filter(|it| it.target.starts_with("/order/")).count()
+    };
+    let cases = [
+        Answering::StaleRefusal(None),
+        Answering::StaleRefusal(Some("earlier")),
+        Answering::BareRefusal(503),
+        Answering::BareRefusal(429),
+        Answering::BareRefusal(408),
+    ];
+    for answering in cases {
+        // Leaves a connection to each server that is used again.
+        for vm in &stock {
+            vm.server.answer(Answering::After(Duration::ZERO));
+        }
+        for number in 0..8 {
+            assert_eq!(shop.get("/count/1", &format!("kept-{number}")).status, 200);
+        }
+        for vm in &stock {
+            vm.server.answer(answering);
+        }
+        let before = orders();
+        let answer = exchange(shop.callers, &request("POST", "/order/1", "o1"), 1).unwrap();
+        assert!(matches!(answer[0].status, 502 | 504), "{answering:?}: {}", answer[0].status);
+        assert_eq!(orders(), before + 1, "{answering:?}");
+    }
+}
+
+/// Guards against an answer that ends in the middle of its head and reaches the caller as a whole one
+/// with an empty or short body.
+#[test]
+fn answer_cut_in_its_head_looks_whole() {
+    let (_store, shop, stock) = fleet(&["stock-1"]);
+    let whole = "HTTP/1.1 200 OK\r\nresponse-signature: s\r\ncontent-length: 5\r\n\r\nwhole";
+    let head = whole.len() - "whole".len();
+    for end in 0..whole.len() {
+        let path = if end % 2 == 0 { "/count/1" } else { "/order/1" };
+        stock[0].server.answer(Answering::Cut(&whole[..end]));
+        let id = format!("cut-{end}");
+        let answer = exchange(shop.callers, &request("GET", path, &id), 1).unwrap().remove(0);
+        let rest = if end < head { "its head" } else { "its body" };
+        assert_eq!((answer.status, answer.body.len()), (502, 0), "cut in {rest} after {end} bytes");
+        assert_eq!(answer.header("request-id"), Some(id.as_str()));
+    }
+}
+
 /// Guards against a backend server whose bytes have no end: they must not be held in memory, the
 /// request must not wait for its deadline, and no part of them may reach the caller.
 #[test]
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -15,6 +15,7 @@
 use shallottack_http::{ConnectionGuard, spawn_connection};
 use shallottack_kernel::EndpointId;
 use shallottack_site::headers;
+use smallvec::SmallVec;
 use smol_hyper::rt::FuturesIo;
 
 /// Timeout for opening a connection on the same VM; a fully loaded backend server takes some
@@ -31,6 +32,8 @@
 const RESPONSE_SLACK: Duration = Duration::from_millis(30);
 /// Largest response body in bytes; bodies are buffered in memory.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+/// Number of refusals after which a connection is not reused, so that the list of them stays short.
+const MAX_REFUSED: usize = 64;
 /// How long connections are not reused for non-idempotent requests after the backend server sent
 /// bytes that belong to no request.
 const DESYNC_HOLDOFF: Duration = Duration::from_secs(3);
@@ -102,6 +105,10 @@
 
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    /// Number of requests sent before the current one.
+    served: u32,
+    /// Identifiers of the requests that were refused on it.
+    refused: SmallVec<[String; 2]>,
     /// Closes the connection on drop, which cancels a request in progress.
     _guard: ConnectionGuard,
 }
@@ -139,7 +146,7 @@
         };
         let started = Instant::now();
         loop {
-            let pooled = self.checkout(idempotent).await;
+            let pooled = self.checkout(&id, idempotent).await;
             let mut connection = match pooled {
                 Some(connection) => connection,
                 None => match self.connect().await {
@@ -193,7 +200,9 @@
     ///
     /// Non-idempotent requests only reuse connections in the first half of the idle timeout, and
     /// none after a recent desynchronisation.
-    async fn checkout(&self, idempotent: bool) -> Option<Connection> {
+    /// A request that was refused on a connection is not repeated on it: if the backend server writes
+    /// the refusal once more, it could not be told from the response to the repeated request.
+    async fn checkout(&self, id: &str, idempotent: bool) -> Option<Connection> {
         if !idempotent && self.recently_desynced() {
             return None;
         }
@@ -201,7 +210,8 @@
             let pooled = self.idle().pop()?;
             let age = pooled.since.elapsed();
             let usable = if idempotent { age < pooled.timeout } else { age < pooled.timeout / 2 };
-            if !usable || pooled.connection.sender.is_closed() {
+            let refused = pooled.connection.refused.iter().any(|it| it == id);
+            if !usable || refused || pooled.connection.sender.is_closed() {
                 continue;
             }
             let mut connection = pooled.connection;
@@ -219,7 +229,12 @@
         let handshake = Builder::new().handshake(FuturesIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|it| it.to_string())?;
         metrics::counter!("shallottack_backend_connections_total").increment(1);
-        Ok(Connection { sender, _guard: spawn_connection(connection) })
+        Ok(Connection {
+            sender,
+            served: 0,
+            refused: SmallVec::new(),
+            _guard: spawn_connection(connection),
+        })
     }
 
     /// Checks that a response belongs to the request, and returns the connection to the pool if so.
@@ -227,18 +242,29 @@
         &self,
         id: &str,
         response: BackendResponse,
-        connection: Connection,
+        mut connection: Connection,
         idle: Duration,
     ) -> ExchangeOutcome {
         let status = response.status;
-        if headers::request_id(&response.headers).is_some_and(|it| it != id) {
+        let echoed = headers::request_id(&response.headers);
+        if echoed.is_some_and(|it| it != id) {
             self.mark_desynced();
             return ExchangeOutcome::Broken("response to another request".to_owned());
         }
         if headers::not_run(status.as_u16(), &response.headers) {
+            // Without an identifier it may refuse an earlier request of the connection.
+            if echoed.is_none() && connection.served > 0 {
+                self.mark_desynced();
+                return ExchangeOutcome::Broken("refusal of an unknown request".to_owned());
+            }
+            connection.refused.push(id.to_owned());
             self.release(connection, idle);
             return ExchangeOutcome::NotRun(status, response.notice);
         }
+        // Callers take these statuses for a statement that the request did not run.
+        if matches!(status.as_u16(), 408 | 429 | 503) {
+            return ExchangeOutcome::Broken(format!("status {status} after the request was sent"));
+        }
         if status.is_success() && !response.headers.contains_key(headers::SIGNATURE) {
             self.mark_desynced();
             return ExchangeOutcome::Broken("response without a signature".to_owned());
@@ -248,8 +274,10 @@
     }
 
     /// Returns a connection to the pool for reuse within `idle`.
-    fn release(&self, connection: Connection, idle: Duration) {
-        if !idle.is_zero() && !connection.sender.is_closed() {
+    fn release(&self, mut connection: Connection, idle: Duration) {
+        connection.served += 1;
+        let many_refused = connection.refused.len() >= MAX_REFUSED;
+        if !idle.is_zero() && !many_refused && !connection.sender.is_closed() {
             self.idle().push(IdleConnection { connection, since: Instant::now(), timeout: idle });
         }
     }
--- a/crates/standins/src/site/http.rs
+++ b/crates/standins/src/site/http.rs
@@ -46,8 +46,8 @@
         /// Body.
         body: Vec<u8>,
     },
-    /// Closes the connection without an answer.
-    Close,
+    /// Writes these bytes, then closes the connection.
+    Cut(&'static str),
     /// Writes bytes without end, until the other side closes the connection.
     Endless {
         /// What comes first.
@@ -102,7 +102,7 @@
     while let Some(request) = receive(&mut reader)? {
         let (status, headers, body) = match handler(request) {
             Reply::Answer { status, headers, body } => (status, headers, body),
-            Reply::Close => return Ok(()),
+            Reply::Cut(bytes) => return writer.write_all(bytes.as_bytes()),
             Reply::Endless { start, rest } => {
                 writer.write_all(start.as_bytes())?;
                 let rest = rest.repeat(ENDLESS_BYTES.div_ceil(rest.len()));
--- a/crates/standins/src/site/server.rs
+++ b/crates/standins/src/site/server.rs
@@ -15,8 +15,12 @@
 pub enum Answering {
     /// Runs the request and answers after a time.
     After(Duration),
-    /// Runs the request and closes the connection.
-    Lost,
+    /// Runs the request, answers with these bytes and closes the connection.
+    Cut(&'static str),
+    /// Runs the request and answers, under this identifier or none, that it did not run.
+    StaleRefusal(Option<&'static str>),
+    /// Runs the request and refuses it without stating that it did not run.
+    BareRefusal(u16),
     /// Answers that it did not run the request.
     Shed,
     /// Runs the request and answers under the identifier of another one.
@@ -143,10 +147,20 @@
             signed(request_id)
         }
         Answering::Foreign => signed("another".to_owned()),
-        Answering::Lost => Reply::Close,
+        Answering::Cut(bytes) => Reply::Cut(bytes),
+        Answering::StaleRefusal(earlier) => {
+            let mut headers = vec![("not-executed".to_owned(), "1".to_owned())];
+            headers.extend(earlier.map(|it| ("request-id".to_owned(), it.to_owned())));
+            Reply::Answer { status: 503, headers, body: Vec::new() }
+        }
+        Answering::BareRefusal(status) => {
+            let headers = vec![("request-id".to_owned(), request_id)];
+            Reply::Answer { status, headers, body: Vec::new() }
+        }
         Answering::Endless(start, rest) => Reply::Endless { start, rest },
         Answering::Shed => {
-            let headers = vec![("not-executed".to_owned(), "1".to_owned())];
+            let id = ("request-id".to_owned(), request_id);
+            let headers = vec![("not-executed".to_owned(), "1".to_owned()), id];
             Reply::Answer { status: 503, headers, body: Vec::new() }
         }
     }
