Answer requests taken during a stop before the process exits

Further report: requests that came late in the grace period of a planned stop were passed on and cut with no answer at its end. What callers saw here: a request taken within 2.4 s after the signal keeps its whole deadline. If it is still unanswered 250 ms before the end of the grace period, its connection is closed without an answer, also for a request that still waits for a slot and has not run. Cause: deadlines did not know of the end of the process. Class: a time limit of one part that exceeds that of the part around it; relayed requests of other daemons had the same. Why it works: a request that arrives during the stop has until 150 ms before the exit. Slots reject it at once if it can't be served by then, the backend server gets that deadline and answers by it, and otherwise the daemon answers that the outcome is unknown. Tests: request_taken_during_a_stop_is_cut failed before (end of the connection instead of an answer).

--- a/crates/shallottackd/tests/suite/fleet.rs
+++ b/crates/shallottackd/tests/suite/fleet.rs
@@ -388,6 +388,36 @@
     }
 }
 
+/// Guards against a request that is taken late in a planned stop and cut without an answer when the
+/// grace period ends.
+#[test]
+fn request_taken_during_a_stop_is_cut() {
+    let (store, mut shop, stock) = fleet(&["stock-1"]);
+    let mut longer = configuration("00000002", &["/count/", "/order/", "/longer/"]);
+    for route in longer["routes"].as_array_mut().unwrap() {
+        route["timeout"] = json!("20s");
+    }
+    store.put("op", "config", &longer);
+    eventually("the timeouts are longer", || shop.get("/longer/1", "l1").status == 200);
+    stock[0].server.answer(Answering::After(Duration::from_secs(20)));
+    let began = Instant::now();
+    shop.signal(Signal::TERM);
+    eventually("the stop has gone on for a while", || {
+        began.elapsed() > Duration::from_millis(1_800)
+    });
+    let callers = shop.callers;
+    let asking = ["/count/1", "/order/1"].map(|path| {
+        let request = request("POST", path, "late").replace("4000", "9000");
+        thread::spawn(move || exchange(callers, &request, 1))
+    });
+    for asked in asking {
+        let answer = asked.join().unwrap().expect("an answer before the end of the grace period");
+        assert!(matches!(answer[0].status, 502..=504), "{}", answer[0].status);
+    }
+    assert!(shop.child.wait().unwrap().success());
+    assert!(began.elapsed() < Duration::from_secs(6));
+}
+
 /// Guards against a backend server whose bytes have no end: they must not be held in memory, the
 /// request must not wait for its deadline, and no part of them may reach the caller.
 #[test]
--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -199,6 +199,7 @@
 ) -> Result<Call, (ErrorKind, String)> {
     let stated = headers::deadline(&head.headers).unwrap_or(DEFAULT_DEADLINE);
     let allowed = route.timeout.map_or(stated, |it| it.min(stated));
+    let allowed = node.time_before_stop(began, allowed);
     let deadline = began + allowed;
     let goal = route.goal.unwrap_or(allowed).min(allowed);
     let service = route.draw_service(&mut rand::rng()).cloned();
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -173,12 +173,12 @@
         let Daemon { node, state } = self;
         let began = node.now();
         node.events.write(&Event::Stopping { signal });
-        node.begin_stop();
+        let limit = node.settings.stop.grace.saturating_sub(GRACE_MARGIN);
+        node.begin_stop(began + limit);
         task::sleep(CALLER_DRAIN_TIME).await;
         drop(state.callers);
         node.end_relay();
         task::sleep(RELAY_DRAIN_TIME).await;
-        let limit = node.settings.stop.grace.saturating_sub(GRACE_MARGIN);
         let busy = || state.connections.load(SeqCst) + node.in_progress.load(SeqCst);
         while busy() > 0 && node.now().since(began) < limit {
             task::sleep(CHECK_INTERVAL).await;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -33,6 +33,9 @@
     settings::Settings,
 };
 
+/// Time before the exit by which a request ends, so that its answer is still delivered; above the
+/// time in which an outcome is reported after the deadline.
+const ANSWER_TIME: Duration = Duration::from_millis(150);
 /// Time over which the rows lost in a restored store are written again, for each daemon; 200 writes
 /// a second are half of what the store takes.
 const REWRITE_SPREAD: Duration = Duration::from_millis(5);
@@ -82,6 +85,8 @@
     pub neighbours: Neighbours,
     /// Channels that report to each queued request whether it got a slot or was rejected.
     waiters: HashMap<TaskId, Sender<SlotDecision>>,
+    /// When the process may exit; `None` unless it is stopping.
+    stop_end: Option<Time>,
     /// Newest era of the store that is known.
     pub era: Option<u64>,
     /// What the backend server last stated about itself.
@@ -161,6 +166,7 @@
             behind_since: None,
             neighbours: Neighbours::default(),
             waiters: HashMap::new(),
+            stop_end: None,
             era: None,
             notice: Notice::default(),
             backend_down_until: None,
@@ -223,13 +229,22 @@
     ///
     /// Other daemons still send requests for the backend server until [`Node::end_relay`], since it
     /// runs on while its daemon restarts.
-    pub fn begin_stop(&self) {
+    ///
+    /// Requests that still arrive have to be answered by `end`, when the process may exit.
+    pub fn begin_stop(&self, end: Time) {
+        self.shared().stop_end = Some(end);
         self.stopping.store(true, SeqCst);
         if self.shared().local.server().is_none() {
             self.end_relay();
         }
     }
 
+    /// Returns how much of the time `allowed` for a request is left before the process may exit.
+    pub fn time_before_stop(&self, now: Time, allowed: Duration) -> Duration {
+        let end = self.shared().stop_end;
+        end.map_or(allowed, |it| allowed.min(it.since(now).saturating_sub(ANSWER_TIME)))
+    }
+
     /// Refuses new requests for the backend server and notifies the other daemons.
     pub fn end_relay(&self) {
         if !self.shared().own.stopping {
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -27,9 +27,10 @@
 #[async_trait]
 impl FleetHandler for PeerService {
     async fn run(&self, frame: Frame) -> Result<Frame, String> {
-        let request: RunRequest = decode(&frame.head)?;
+        let mut request: RunRequest = decode(&frame.head)?;
         let _progress = InProgressGuard::new(&self.0);
         let arrived = self.0.now();
+        request.left = self.0.time_before_stop(arrived, request.left);
         let next = new_arrival(TaskId::default(), arrived, &request);
         let (outcome, body) = run(&self.0, request, frame.body).await;
         let held = self.0.shared().link.send(self.0.now(), body.len());
