--- a/crates/shallottackd/tests/suite/fleet.rs
+++ b/crates/shallottackd/tests/suite/fleet.rs
@@ -1,5 +1,8 @@
 //! A fleet of daemons as separate processes, with stand-ins for the store and backend servers.
 
+mod responses;
+mod restored;
+
 use std::{
     fs,
     net::{SocketAddr, TcpListener},
@@ -17,13 +20,6 @@
 /// Time in which a change has to show; the platform's bounds are 2 s and more.
 const WITHIN: Duration = Duration::from_secs(8);
 
-/// Callers that send requests at the same time, and the pause of each between two of them; together
-/// some 100 requests a second.
-const PRESSING_CALLERS: usize = 4;
-const PRESS_PAUSE: Duration = Duration::from_millis(40);
-/// Time for which callers press.
-const PRESS_TIME: Duration = Duration::from_secs(2);
-
 /// Most starts of a daemon, each on other ports.
 const STARTS: usize = 5;
 
@@ -255,75 +251,6 @@
     assert_eq!(last - after, 2, "a count goes to both backend servers");
 }
 
-/// Sends requests from several callers at once for `time`; returns how many were not answered with
-/// 200.
-fn press(callers: SocketAddr, name: &str, time: Duration) -> usize {
-    let end = Instant::now() + time;
-    let pressing = |caller: usize| {
-        let name = name.to_owned();
-        thread::spawn(move || {
-            let mut refused = 0;
-            for number in 0.. {
-                if Instant::now() >= end {
-                    break;
-                }
-                let id = format!("{name}-{caller}-{number}");
-                let request = request("GET", "/count/1", &id);
-                let answers = exchange(callers, &request, 1);
-                refused += usize::from(!answers.is_ok_and(|it| it[0].status == 200));
-                thread::sleep(PRESS_PAUSE);
-            }
-            refused
-        })
-    };
-    let threads: Vec<_> = (0..PRESSING_CALLERS).map(pressing).collect();
-    threads.into_iter().map(|it| it.join().unwrap()).sum()
-}
-
-/// Guards against a backend server that gets more requests than it states that it takes, also while
-/// the daemon beside it has just started again and has seen none of its responses.
-#[test]
-fn server_gets_more_than_its_stated_rate() {
-    let (_store, shop, mut stock) = fleet(&["stock-1"]);
-    let rate = 10.0;
-    stock[0].server.state_limit(Some(rate));
-    assert_eq!(shop.get("/count/1", "first").status, 200);
-    let allowed = |time: Duration| (rate * time.as_secs_f64() * 1.5 + 5.0) as usize;
-    let before = stock[0].server.runs().len();
-    press(shop.callers, "limited", PRESS_TIME);
-    let got = stock[0].server.runs().len() - before;
-    assert!(got <= allowed(PRESS_TIME), "{got} of {}", allowed(PRESS_TIME));
-    assert!(got >= (rate * PRESS_TIME.as_secs_f64() * 0.7) as usize, "{got}");
-    stock[0].restart();
-    eventually("a request is served after the restart", || {
-        shop.get("/count/1", "restarted").status == 200
-    });
-    let before = stock[0].server.runs().len();
-    press(shop.callers, "restarted", PRESS_TIME);
-    let got = stock[0].server.runs().len() - before;
-    assert!(got <= allowed(PRESS_TIME), "{got} of {} after the restart", allowed(PRESS_TIME));
-    stock[0].server.state_limit(None);
-    eventually("the limit has ended", || {
-        press(shop.callers, "unlimited", Duration::from_millis(500)) == 0
-    });
-}
-
-/// Guards against requests for a backend server that has stated in a response that it is leaving,
-/// also after the daemon beside it has started again and has received a heartbeat that was late.
-#[test]
-fn leaving_server_gets_requests_from_those_who_know() {
-    let (_store, shop, mut stock) = fleet(&["stock-1", "stock-2"]);
-    stock[0].server.state_leaving();
-    let leaving = |it: &Received| it.header("server-leaving").is_some();
-    eventually("a response states it", || leaving(&shop.get("/count/1", "leaving")));
-    let before = stock[0].server.runs().len();
-    press(shop.callers, "left", PRESS_TIME);
-    assert_eq!(stock[0].server.runs().len(), before);
-    stock[0].restart();
-    press(shop.callers, "restarted", PRESS_TIME);
-    assert_eq!(stock[0].server.runs().len(), before, "after the restart");
-}
-
 /// Guards against an answer to another request reaching a caller.
 #[test]
 fn foreign_answer_is_not_passed_on() {
@@ -335,59 +262,6 @@
     assert_eq!(answer.header("response-signature"), None);
 }
 
-/// Guards against a refusal of an earlier request that a faulty backend server writes once more: the
-/// request on the same connection has run, so that its caller must not be told otherwise, and an
-/// order must not run at a second server.
-#[test]
-fn stale_refusal_is_taken_for_the_current_request() {
-    let (_store, shop, stock) = fleet(&["stock-1", "stock-2"]);
-    let orders = || {
-        let runs = stock.iter().flat_map(|it| it.server.runs());
-        runs.filter(|it| it.target.starts_with("/order/")).count()
-    };
-    let cases = [
-        Answering::StaleRefusal(None),
-        Answering::StaleRefusal(Some("earlier")),
-        Answering::BareRefusal(503),
-        Answering::BareRefusal(429),
-        Answering::BareRefusal(408),
-    ];
-    for answering in cases {
-        // Leaves a connection to each server that is used again.
-        for vm in &stock {
-            vm.server.answer(Answering::After(Duration::ZERO));
-        }
-        for number in 0..8 {
-            assert_eq!(shop.get("/count/1", &format!("kept-{number}")).status, 200);
-        }
-        for vm in &stock {
-            vm.server.answer(answering);
-        }
-        let before = orders();
-        let answer = exchange(shop.callers, &request("POST", "/order/1", "o1"), 1).unwrap();
-        assert!(matches!(answer[0].status, 502 | 504), "{answering:?}: {}", answer[0].status);
-        assert_eq!(orders(), before + 1, "{answering:?}");
-    }
-}
-
-/// Guards against an answer that ends in the middle of its head and reaches the caller as a whole one
-/// with an empty or short body.
-#[test]
-fn answer_cut_in_its_head_looks_whole() {
-    let (_store, shop, stock) = fleet(&["stock-1"]);
-    let whole = "HTTP/1.1 200 OK\r\nresponse-signature: s\r\ncontent-length: 5\r\n\r\nwhole";
-    let head = whole.len() - "whole".len();
-    for end in 0..whole.len() {
-        let path = if end % 2 == 0 { "/count/1" } else { "/order/1" };
-        stock[0].server.answer(Answering::Cut(&whole[..end]));
-        let id = format!("cut-{end}");
-        let answer = exchange(shop.callers, &request("GET", path, &id), 1).unwrap().remove(0);
-        let rest = if end < head { "its head" } else { "its body" };
-        assert_eq!((answer.status, answer.body.len()), (502, 0), "cut in {rest} after {end} bytes");
-        assert_eq!(answer.header("request-id"), Some(id.as_str()));
-    }
-}
-
 /// Guards against a request that is taken late in a planned stop and cut without an answer when the
 /// grace period ends.
 #[test]
@@ -557,51 +431,6 @@
     drop(stock);
 }
 
-/// Guards against changes that are dropped after the store was restored from an older copy, since it
-/// gives out the versions of lost rows again, and against an older one that comes back.
-#[test]
-fn change_after_a_restored_store_is_not_in_force() {
-    let store = SiteStore::start().unwrap();
-    store.put("op", "config", &configuration("00000001", &["/count/"]));
-    let copy = store.copy();
-    let shop = Vm::start("shop-1", "shop", store.address());
-    let _stock = Vm::start("stock-1", "stock", store.address());
-    eventually("a request is served", || shop.get("/count/1", "warm").status == 200);
-    let second = configuration("00000002", &["/count/", "/second/"]);
-    store.put("op", "config", &second);
-    store.put("op", "config", &configuration("00000005", &["/count/", "/second/", "/third/"]));
-    eventually("a route is added", || shop.get("/third/1", "t1").status == 200);
-    store.set_down(true);
-    store.restore(&copy);
-    store.set_down(false);
-    // The operator writes again what was lost, first an older version.
-    store.put("op", "config", &second);
-    assert_eq!(shop.get("/third/1", "t2").status, 200, "no older configuration comes back");
-    store.put("op", "config", &configuration("00000007", &["/count/", "/third/", "/fourth/"]));
-    eventually("a later route is added", || shop.get("/fourth/1", "f1").status == 200);
-    assert_eq!(shop.get("/second/1", "s1").status, 404);
-}
-
-/// Guards against daemons whose rows are lost for good with a restored store: those that start later
-/// find the others there.
-#[test]
-fn rows_lost_in_a_restored_store_are_not_written_again() {
-    let store = SiteStore::start().unwrap();
-    store.put("op", "config", &configuration("00000001", &["/count/"]));
-    let copy = store.copy();
-    let shop = Vm::start("shop-1", "shop", store.address());
-    let _stock = Vm::start("stock-1", "stock", store.address());
-    let written = || ["shop-1", "stock-1"].iter().all(|it| store.get("members", it).is_some());
-    eventually("the rows are written", written);
-    store.set_down(true);
-    store.restore(&copy);
-    store.set_down(false);
-    eventually("the rows are written again", written);
-    let later = Vm::start("shop-2", "shop", store.address());
-    eventually("a later daemon finds the others", || later.get("/count/1", "c1").status == 200);
-    drop(shop);
-}
-
 /// Guards against a route that is missing at a daemon that the store turns away, while others have
 /// it: it comes from one of them, as a difference.
 #[test]
