Move load reports and leaving servers out of the placement's file

Change: record_load, record_report and recent_reports move to reports.rs, record_leaving and is_leaving to leaving.rs, as eligible.rs already does with the selection. Two fields become visible in the crate. The functions move without a change.

--- a/crates/fleet/src/leaving.rs
+++ b/crates/fleet/src/leaving.rs
@@ -4,7 +4,7 @@
 
 use shallottack_kernel::{EndpointId, Time};
 
-use crate::Server;
+use crate::{Placement, Server, candidate::Candidate};
 
 /// Time for which a statement is kept, well above the time that a leaving backend server runs on.
 const RETENTION: Duration = Duration::from_secs(3_600);
@@ -33,3 +33,15 @@
         self.servers.get(vm).is_some_and(|(it, _)| it.is_same_start(server))
     }
 }
+
+impl Placement {
+    /// Records that a response stated that the backend server of a VM is leaving.
+    pub fn record_leaving(&mut self, now: Time, vm: &EndpointId, server: &Server) {
+        self.leaving.record(now, vm, server);
+    }
+
+    /// Returns whether the backend server of a candidate has stated that it is leaving.
+    pub(crate) fn is_leaving(&self, candidate: &Candidate) -> bool {
+        self.leaving.contains(&candidate.member.vm, &candidate.server)
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 mod neighbours;
 mod placement;
 mod rate;
+mod reports;
 mod returns;
 mod rollout;
 mod row_version;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -12,9 +12,9 @@
 use shallottack_kernel::{DataCentre, EndpointId, ErrorKind, Run, ServiceName, Time};
 
 use crate::{
-    Choice, Load, LoadReport, Member, Next, Outcome, PlacementRequest, RetryBudget, SendHistory,
-    Server, Ticket, VersionFilter,
-    candidate::{Candidate, Gate, Reach, initial_load, with_known_pace},
+    Choice, Member, Next, Outcome, PlacementRequest, RetryBudget, SendHistory, Ticket,
+    VersionFilter,
+    candidate::{Candidate, Gate, Reach, initial_load},
     leaving::Leaving,
     slots::{DEFAULT_RUN, MIN_RETRY},
 };
@@ -104,14 +104,14 @@
 #[derive(Debug)]
 pub struct Placement {
     settings: PlacementSettings,
-    vm: EndpointId,
+    pub(crate) vm: EndpointId,
     pub(crate) data_centre: DataCentre,
     pub(crate) candidates: BTreeMap<EndpointId, Candidate>,
     /// Mean run time of each route in seconds.
     run_times: HashMap<Arc<str>, f64>,
     /// Mean size of the requests and responses of each route in kilobytes.
     sizes: HashMap<Arc<str>, f64>,
-    leaving: Leaving,
+    pub(crate) leaving: Leaving,
     budget: RetryBudget,
     /// Daemons that share the budget.
     daemons: usize,
@@ -184,36 +184,11 @@
         }
     }
 
-    /// Records that a response stated that the backend server of a VM is leaving.
-    pub fn record_leaving(&mut self, now: Time, vm: &EndpointId, server: &Server) {
-        self.leaving.record(now, vm, server);
-    }
-
-    /// Returns whether the backend server of a candidate has stated that it is leaving.
-    pub(crate) fn is_leaving(&self, candidate: &Candidate) -> bool {
-        self.leaving.contains(&candidate.member.vm, &candidate.server)
-    }
-
     /// Removes the backend server of a member.
     pub fn remove_member(&mut self, vm: &EndpointId) {
         self.candidates.remove(vm);
     }
 
-    /// Records the load reported by the daemon of a VM itself, which is reachable.
-    ///
-    /// Returns whether the daemon was unreachable or had not answered before.
-    pub fn record_load(&mut self, now: Time, vm: &EndpointId, load: Load) -> bool {
-        let Some(it) = self.candidates.get_mut(vm) else { return false };
-        let regained = it.reach != Reach::Up;
-        it.reach = Reach::Up;
-        it.load = with_known_pace(load, it.load.pace);
-        it.load_time = now;
-        it.last_contact = now;
-        it.probed = None;
-        it.sent_since = 0;
-        regained
-    }
-
     /// Records the lowest ticket with which the daemon of a VM admits requests of a route now.
     pub fn record_gate(
         &mut self,
@@ -228,38 +203,6 @@
         it.gates.insert(Arc::clone(route), Gate { lowest, time: now });
     }
 
-    /// Records a load that another daemon passed on, unless a newer one is known.
-    pub fn record_report(&mut self, now: Time, report: &LoadReport) {
-        if report.vm == self.vm {
-            return;
-        }
-        let Some(it) = self.candidates.get_mut(&report.vm) else { return };
-        let reported = Time(now.0.saturating_sub(u64::from(report.age_ms) * 1_000));
-        if reported <= it.load_time {
-            return;
-        }
-        it.load = with_known_pace(report.load, it.load.pace);
-        it.load_time = reported;
-        // The reported load includes the requests sent before it.
-        it.sent_since = if it.last_sent <= reported { 0 } else { it.sent_since.min(it.in_flight) };
-    }
-
-    /// Returns up to `limit` of the newest loads that are no older than `max_age`.
-    pub fn recent_reports(&self, now: Time, max_age: Duration, limit: usize) -> Vec<LoadReport> {
-        let recent = |it: &&Candidate| {
-            it.reach == Reach::Up && it.member.vm != self.vm && now.since(it.load_time) <= max_age
-        };
-        let mut recent: Vec<&Candidate> = self.candidates.values().filter(recent).collect();
-        recent.sort_unstable_by_key(|it| std::cmp::Reverse(it.load_time));
-        recent.truncate(limit);
-        let report = |it: &Candidate| LoadReport {
-            vm: it.member.vm.clone(),
-            load: it.load,
-            age_ms: now.since(it.load_time).as_millis() as u32,
-        };
-        recent.into_iter().map(report).collect()
-    }
-
     /// Records the transit time of a request and its response of `bytes` bytes, to and from the
     /// daemon of a VM together.
     pub fn record_transit(&mut self, now: Time, vm: &EndpointId, transit: Duration, bytes: usize) {
