Log crashes of backend servers with the requests in progress

Three hypotheses looked alike: one request sent again and again, the retries of all requests that were cut, or servers that fail for reasons of their own.

Each request now has a key, a hash of what stays the same when it is sent again; the record of rejected callers uses the same one. The daemon beside a server follows its runs. When all of them end without a response, it tries to connect, and a refused connection, or the first heartbeat of a later incarnation, shows a crash: the line 'crash' has the keys that were in progress, and the requests completed before. A single lost response is no crash (lost_response_is_no_crash).

Nothing is decided by it yet.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,9 +17,11 @@
 mod placement;
 mod rate;
 mod reports;
+mod request_key;
 mod returns;
 mod rollout;
 mod row_version;
+mod runs;
 mod server;
 mod slots;
 mod tickets;
@@ -35,12 +37,14 @@
 pub use neighbours::{NeighbourSettings, Neighbours, is_store_reader};
 pub use placement::{Placement, PlacementSettings};
 pub use rate::{Pace, RateLimit};
-pub use returns::{CallerKey, RejectedCallers, RejectedCallersSettings};
+pub use request_key::RequestKey;
+pub use returns::{RejectedCallers, RejectedCallersSettings};
 pub use rollout::{
     Counts, Evidence, Judgement, OrderRelation, Rollout, RolloutOrder, RolloutSettings,
     RolloutState, Side, Step, VersionFilter,
 };
 pub use row_version::RowVersion;
+pub use runs::{CrashSign, CrashedRuns, RunEnd, Runs};
 pub use server::{Heartbeat, LocalServer, Server, ServerState, ServerUpdate};
 pub use slots::{Admission, Arrival, Load, Slots, SlotsSettings, TaskId, Wake};
 pub use tickets::{Ticket, Tickets};
--- a/crates/fleet/src/returns.rs
+++ b/crates/fleet/src/returns.rs
@@ -14,6 +14,8 @@
 use shallottack_kernel::Time;
 use smallvec::SmallVec;
 
+use crate::RequestKey;
+
 /// Settings of [`RejectedCallers`].
 #[serde_as]
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
@@ -40,10 +42,6 @@
     }
 }
 
-/// Identifies a caller by a hash of the request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct CallerKey(pub u64);
-
 #[derive(Debug, Clone, Copy)]
 struct Rejection {
     /// Time of the caller's first request.
@@ -58,10 +56,10 @@
 #[derive(Debug, Default)]
 pub struct RejectedCallers {
     settings: RejectedCallersSettings,
-    /// Rejections by caller; callers with equal requests share an entry.
-    rejections: HashMap<CallerKey, SmallVec<[Rejection; 1]>>,
+    /// Rejections by request; callers with equal requests share an entry.
+    rejections: HashMap<RequestKey, SmallVec<[Rejection; 1]>>,
     /// Times of the rejections, oldest first.
-    order: VecDeque<(Time, CallerKey)>,
+    order: VecDeque<(Time, RequestKey)>,
 }
 
 impl RejectedCallers {
@@ -71,7 +69,7 @@
     }
 
     /// Records that a caller whose first request came at `first` was told to retry after `wait`.
-    pub fn record_rejection(&mut self, now: Time, key: CallerKey, first: Time, wait: Duration) {
+    pub fn record_rejection(&mut self, now: Time, key: RequestKey, first: Time, wait: Duration) {
         self.expire(now);
         let due = now + wait.mul_f64(self.settings.min_wait);
         self.rejections.entry(key).or_default().push(Rejection { first, due, at: now });
@@ -80,7 +78,7 @@
 
     /// Returns the time of the first request of a caller that retries on time, and removes the
     /// rejection. Returns `None` for any other caller.
-    pub fn take_return(&mut self, now: Time, key: CallerKey) -> Option<Time> {
+    pub fn take_return(&mut self, now: Time, key: RequestKey) -> Option<Time> {
         self.expire(now);
         let rejections = self.rejections.get_mut(&key)?;
         let position = rejections.iter().position(|it| it.due <= now)?;
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -110,6 +110,12 @@
         ServerUpdate::Changed
     }
 
+    /// Returns whether a heartbeat is the first one of a later incarnation.
+    pub fn is_restart(&self, beat: &Heartbeat) -> bool {
+        let server = self.server();
+        server.is_some_and(|it| it.started_ms < beat.server.started_ms)
+    }
+
     /// Processes a notice that the backend server `id` leaves without a drain.
     ///
     /// `started_ms` is the start time of the incarnation, if the notice states it.
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -12,6 +12,7 @@
 mod returns;
 mod rollout;
 mod rollout_load;
+mod runs;
 mod server;
 mod slots;
 mod slots_load;
--- a/crates/fleet/tests/suite/returns.rs
+++ b/crates/fleet/tests/suite/returns.rs
@@ -2,13 +2,13 @@
 
 use rand::RngExt;
 use shallottack_fleet::{
-    Admission, Arrival, CallerKey, RejectedCallers, RejectedCallersSettings, Slots, SlotsSettings,
+    Admission, Arrival, RejectedCallers, RejectedCallersSettings, RequestKey, Slots, SlotsSettings,
     TaskId, Wake,
 };
 
 use crate::fixture::{arrival, at, ms, rng};
 
-const KEY: CallerKey = CallerKey(7);
+const KEY: RequestKey = RequestKey(7);
 
 /// Guards against callers that gain by retrying early, or more than once for one rejection.
 #[test]
@@ -30,9 +30,9 @@
     returns.record_rejection(at(10), KEY, at(10), ms(100));
     assert_eq!(returns.take_return(at(200), KEY), Some(at(0)));
     assert_eq!(returns.take_return(at(200), KEY), Some(at(10)));
-    (0..5).for_each(|it| returns.record_rejection(at(300 + it), CallerKey(it), at(0), ms(1)));
-    assert_eq!(returns.take_return(at(400), CallerKey(0)), None);
-    assert!(returns.take_return(at(400), CallerKey(4)).is_some());
+    (0..5).for_each(|it| returns.record_rejection(at(300 + it), RequestKey(it), at(0), ms(1)));
+    assert_eq!(returns.take_return(at(400), RequestKey(0)), None);
+    assert!(returns.take_return(at(400), RequestKey(4)).is_some());
     returns.record_rejection(at(500), KEY, at(0), ms(100));
     assert_eq!(returns.take_return(at(4_000), KEY), None);
 }
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 client for the backend server on the same VM, with connection reuse.
 
 use std::{
+    io::ErrorKind,
     net::SocketAddr,
     sync::{Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
@@ -176,6 +177,12 @@
         }
     }
 
+    /// Returns whether no process accepts connections at the address of the backend server.
+    pub async fn refuses_connections(&self) -> bool {
+        let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await;
+        matches!(connecting, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+    }
+
     /// Closes all idle connections, for example after the backend server was replaced.
     pub fn close_idle(&self) {
         self.idle().clear();
--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -1,16 +1,11 @@
 //! Handles requests of callers: routing, placement, attempts and the final response.
 
-use std::{
-    hash::{DefaultHasher, Hash, Hasher},
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request};
 use shallottack_fleet::{
-    CallerKey, Choice, Configuration, Match, Next, Outcome, PlacementRequest, RateLimit, Route,
+    Choice, Configuration, Match, Next, Outcome, PlacementRequest, RateLimit, RequestKey, Route,
     SendHistory, Server, TaskId, VersionFilter,
 };
 use shallottack_http::{
@@ -53,7 +48,7 @@
     /// When the caller first sent the request, which is earlier than `began` if the request was
     /// rejected with `Retry-After` before.
     first_at: Time,
-    key: CallerKey,
+    key: RequestKey,
     placement: PlacementRequest,
     method: String,
     target: String,
@@ -208,7 +203,8 @@
     headers::strip_connection_headers(&mut head.headers);
     head.headers.remove(headers::TARGET);
     let target = head.uri.path_and_query().map_or("/", |it| it.as_str()).to_owned();
-    let key = caller_key(&head, &body);
+    let caller = &node.settings.service;
+    let key = RequestKey::new(caller, head.method.as_str(), host(&head), &target, &body);
     let returned = node.shared().rejected_callers.take_return(began, key);
     let first_at = returned.unwrap_or(began);
     let placement = PlacementRequest {
@@ -247,15 +243,6 @@
     })
 }
 
-/// Returns a key that recognises a request that is sent again.
-///
-/// The request identifier and the deadline are left out, since both differ when a caller retries.
-fn caller_key(head: &request::Parts, body: &[u8]) -> CallerKey {
-    let mut hasher = DefaultHasher::new();
-    (&head.method, host(head), &head.uri, body).hash(&mut hasher);
-    CallerKey(hasher.finish())
-}
-
 /// Draws the versions of the service that may run a request, according to its rollout.
 fn draw_versions(node: &Node, service: &ServiceName) -> VersionFilter {
     let now = node.now();
@@ -390,6 +377,7 @@
         id: call.id.clone(),
         server: target.server.id.clone(),
         caller: node.settings.service.clone(),
+        key: call.key,
         route: Arc::clone(&call.route.name),
         priority: call.route.priority,
         ticket: call.placement.ticket,
--- a/crates/sidecar/src/events.rs
+++ b/crates/sidecar/src/events.rs
@@ -11,7 +11,7 @@
 };
 
 use serde::Serialize;
-use shallottack_fleet::{RolloutState, ServerState};
+use shallottack_fleet::{CrashSign, RequestKey, RolloutState, ServerState};
 use shallottack_kernel::EndpointId;
 
 /// Capacity of the queue to the writer thread, a few seconds of lines at full load.
@@ -188,11 +188,18 @@
     },
     Ran {
         id: &'a str,
+        key: RequestKey,
         outcome: &'a str,
         status: u16,
         run_ms: u64,
         reason: &'a str,
     },
+    Crash {
+        service: &'a str,
+        sign: CrashSign,
+        completions: u32,
+        requests: &'a [RequestKey],
+    },
     Dropped {
         lines: u64,
     },
--- a/crates/sidecar/src/heartbeats.rs
+++ b/crates/sidecar/src/heartbeats.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
-use shallottack_fleet::ServerUpdate;
+use shallottack_fleet::{CrashSign, ServerUpdate};
 use shallottack_kernel::EndpointId;
 use shallottack_site::{READY_PATH, heartbeat};
 
@@ -36,6 +36,9 @@
             return status(StatusCode::BAD_REQUEST);
         }
     };
+    if node.shared().local.is_restart(&heartbeat) {
+        node.record_crash(CrashSign::Restarted);
+    }
     let (update, replaced) = {
         let mut shared = node.shared();
         let before = shared.local.server().cloned();
--- a/crates/sidecar/src/message.rs
+++ b/crates/sidecar/src/message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use shallottack_fleet::{
-    Digest, Evidence, Load, LoadReport, Member, RateLimit, RowVersion, Ticket,
+    Digest, Evidence, Load, LoadReport, Member, RateLimit, RequestKey, RowVersion, Ticket,
 };
 use shallottack_kernel::{EndpointId, ErrorKind, ServiceName};
 
@@ -19,6 +19,8 @@
     pub server: EndpointId,
     /// Service on whose VM the request originated.
     pub caller: ServiceName,
+    /// Recognises the request when it is sent again.
+    pub key: RequestKey,
     /// Route of the request.
     pub route: Arc<str>,
     /// Priority of the route.
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -16,10 +16,10 @@
 };
 use rand::RngExt;
 use shallottack_fleet::{
-    Arrival, Configuration, Directory, FetchTracker, Link, Load, LocalServer, Member, MergeResult,
-    NeighbourSettings, Neighbours, Placement, RateLimit, RejectedCallers, RetryBudget,
-    RetryBudgetSettings, Rollout, RowVersion, ServerUpdate, Slots, TaskId, Ticket, Tickets, Wake,
-    is_store_reader,
+    Arrival, Configuration, CrashSign, Directory, FetchTracker, Link, Load, LocalServer, Member,
+    MergeResult, NeighbourSettings, Neighbours, Placement, RateLimit, RejectedCallers, RetryBudget,
+    RetryBudgetSettings, Rollout, RowVersion, Runs, ServerUpdate, Slots, TaskId, Ticket, Tickets,
+    Wake, is_store_reader,
 };
 use shallottack_kernel::{Clock, EndpointId, ServiceName, SystemClock, Time};
 use shallottack_rpc::FleetPeers;
@@ -89,6 +89,8 @@
     stop_end: Option<Time>,
     /// Newest era of the store that is known.
     pub era: Option<u64>,
+    /// Runs at the backend server on this VM.
+    pub runs: Runs,
     /// What the backend server last stated about itself.
     notice: Notice,
     /// Until when the backend server is considered down.
@@ -168,6 +170,7 @@
             waiters: HashMap::new(),
             stop_end: None,
             era: None,
+            runs: Runs::default(),
             notice: Notice::default(),
             backend_down_until: None,
         };
@@ -439,6 +442,39 @@
         }
     }
 
+    /// Checks whether the backend server has crashed, after a run that ended without a response or a
+    /// connection that failed.
+    pub fn check_for_crash(self: &Arc<Self>) {
+        if !self.shared().runs.may_have_crashed(self.now()) {
+            return;
+        }
+        let node = Arc::clone(self);
+        task::spawn(async move {
+            if node.backend.refuses_connections().await {
+                node.record_crash(CrashSign::Refused);
+            }
+        });
+    }
+
+    /// Records that the backend server has crashed, unless it was leaving or nothing ran there.
+    pub fn record_crash(&self, sign: CrashSign) {
+        let now = self.now();
+        let mut shared = self.shared();
+        if !shared.local.is_ready() {
+            shared.runs.reset();
+            return;
+        }
+        let Some(runs) = shared.runs.take_crash(now, sign) else { return };
+        drop(shared);
+        metrics::counter!("shallottack_backend_crashes_total").increment(1);
+        self.events.write(&Event::Crash {
+            service: self.settings.service.as_str(),
+            sign,
+            completions: runs.completions,
+            requests: &runs.requests,
+        });
+    }
+
     /// Records that the backend server refused a connection.
     pub fn backend_refused(&self) {
         self.shared().backend_down_until = Some(self.now() + BACKEND_HOLDOFF);
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -6,7 +6,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
-use shallottack_fleet::{Admission, Arrival, TaskId};
+use shallottack_fleet::{Admission, Arrival, RequestKey, RunEnd, TaskId};
 use shallottack_kernel::{ErrorKind, Time};
 use shallottack_rpc::{FleetHandler, Frame, PROTOCOL};
 
@@ -76,6 +76,27 @@
     }
 }
 
+/// Records the end of a run, also when its caller disconnects.
+struct RunGuard<'a> {
+    node: &'a Node,
+    task: TaskId,
+    end: RunEnd,
+}
+
+impl<'a> RunGuard<'a> {
+    fn start(node: &'a Node, task: TaskId, key: RequestKey) -> RunGuard<'a> {
+        node.shared().runs.start(task, key);
+        RunGuard { node, task, end: RunEnd::Unanswered }
+    }
+}
+
+impl Drop for RunGuard<'_> {
+    fn drop(&mut self) {
+        let now = self.node.now();
+        self.node.shared().runs.finish(now, self.task, self.end);
+    }
+}
+
 /// Waits for a slot and runs a request at the backend server on this VM.
 pub async fn run(node: &Arc<Node>, request: RunRequest, body: Bytes) -> (RunOutcome, Bytes) {
     let arrived = node.now();
@@ -118,12 +139,22 @@
         queued: load.queued,
         limit: load.limit,
     });
-    let id = request.id.clone();
+    let (id, key) = (request.id.clone(), request.key);
     let left = request.left.saturating_sub(waited);
+    let mut guard = RunGuard::start(node, slot.task, key);
     let exchange = match build_request(request, body, left) {
         Ok(request) => node.backend.send(request).await,
         Err(error) => ExchangeOutcome::Unsent(error),
     };
+    guard.end = match &exchange {
+        ExchangeOutcome::Answered(_) => RunEnd::Completed,
+        ExchangeOutcome::NotRun(..) | ExchangeOutcome::Unsent(_) => RunEnd::NotRun,
+        ExchangeOutcome::Broken(_) | ExchangeOutcome::TimedOut => RunEnd::Unanswered,
+    };
+    drop(guard);
+    if matches!(exchange, ExchangeOutcome::Broken(_) | ExchangeOutcome::Unsent(_)) {
+        node.check_for_crash();
+    }
     let run = node.now().since(started);
     metrics::histogram!("shallottack_backend_seconds").record(run.as_secs_f64());
     let (outcome, status, reason) = match &exchange {
@@ -139,7 +170,7 @@
         node.record_notice(&id, notice);
     }
     let run_ms = run.as_millis() as u64;
-    node.events.write(&Event::Ran { id: &id, outcome, status, run_ms, reason });
+    node.events.write(&Event::Ran { id: &id, key, outcome, status, run_ms, reason });
     match exchange {
         ExchangeOutcome::Answered(response) => {
             slot.completed = true;
--- a/crates/sidecar/tests/suite/events.rs
+++ b/crates/sidecar/tests/suite/events.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use shallottack_fleet::{RolloutState, ServerState};
+use shallottack_fleet::{CrashSign, RequestKey, RolloutState, ServerState};
 use shallottack_kernel::EndpointId;
 use shallottack_sidecar::{Event, EventLog};
 
@@ -104,7 +104,20 @@
             retry_after_ms: 50,
             waited_ms: 0,
         },
-        Event::Ran { id, outcome: "answered", status: 200, run_ms: 88, reason: "" },
+        Event::Ran {
+            id,
+            key: RequestKey(0x9c4),
+            outcome: "answered",
+            status: 200,
+            run_ms: 88,
+            reason: "",
+        },
+        Event::Crash {
+            service: "desk",
+            sign: CrashSign::Refused,
+            completions: 940,
+            requests: &[RequestKey(0x9c4), RequestKey(0xf00d_0000_0000_0001)],
+        },
         Event::Answered {
             id,
             route: "r",
