Block requests that crash the backend servers that run them

Cause: what crashed a server was known to nobody. A run that was cut was an outcome of one send, held against the server and repeated elsewhere; the next arrival of the same request was another one. The class is evidence that is used for one decision and forgotten, while the fault lies in what comes again.

Now the daemon beside a server reports each crash with the requests in progress, in its description, so that all daemons know it and the store keeps it. Each daemon blocks a request that was at three crashes or more, alone of all, if a sound one would hardly be there by chance, and rejects it at once, as not run, with the time until it is tried again. Until then it rests for 2 s after each crash and runs at one server at a time. Requests that run to their end are cleared.

--- a/crates/fleet/src/attempt.rs
+++ b/crates/fleet/src/attempt.rs
@@ -2,10 +2,10 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use shallottack_kernel::{EndpointId, ErrorKind, ServiceName, Time};
+use shallottack_kernel::{EndpointId, ErrorKind, Run, ServiceName, Time};
 use smallvec::SmallVec;
 
-use crate::{Load, Server, Ticket, VersionFilter};
+use crate::{Load, RequestKey, Server, Ticket, VersionFilter};
 
 /// A request that needs a backend server.
 #[derive(Debug, Clone)]
@@ -28,6 +28,8 @@
     pub attempts: u8,
     /// Whether the caller was rejected earlier and retried after the stated wait.
     pub returned: bool,
+    /// Set if the request may run at one backend server only, which all daemons choose alike.
+    pub trial: Option<RequestKey>,
 }
 
 /// Sends of one request so far.
@@ -43,6 +45,16 @@
     pub ran: bool,
 }
 
+impl SendHistory {
+    /// Returns the error kind that is consistent with the sends so far.
+    pub fn final_kind(&self, kind: ErrorKind) -> ErrorKind {
+        match kind.answer().run {
+            Run::No if self.ran => ErrorKind::OutcomeUnknown,
+            _ => kind,
+        }
+    }
+}
+
 /// Decision on where to send a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Choice {
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -7,9 +7,10 @@
 
 use serde::{Deserialize, Serialize};
 use shallottack_kernel::{DataCentre, EndpointId};
+use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::Server;
+use crate::{Crash, Server, Verdict};
 
 /// Buckets in which members are compared by digest; with 110 members, a bucket holds about four.
 const BUCKETS: usize = 32;
@@ -43,6 +44,11 @@
     pub stopping: bool,
     /// Backend server on the VM; `None` before its first heartbeat.
     pub server: Option<Server>,
+    /// Recent crashes of the backend server that no blocked request explains.
+    pub crashes: SmallVec<[Crash; 1]>,
+    /// What is known about requests that were in progress when backend servers of its service
+    /// crashed.
+    pub verdicts: SmallVec<[Verdict; 1]>,
 }
 
 impl Member {
--- a/crates/fleet/src/eligible.rs
+++ b/crates/fleet/src/eligible.rs
@@ -5,9 +5,11 @@
 
 use shallottack_kernel::{EndpointId, GroupName, Time};
 use smallvec::SmallVec;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::{Placement, PlacementRequest, SendHistory, VersionFilter, candidate::Candidate};
+use crate::{
+    Placement, PlacementRequest, RequestKey, SendHistory, VersionFilter, candidate::Candidate,
+};
 
 impl Placement {
     /// Returns whether an eligible backend server has not been tried yet.
@@ -23,6 +25,7 @@
     /// Returns the candidates that may run the request.
     ///
     /// Falls back to all versions of the service if the filter matches none and is not strict.
+    /// A trial has a single candidate, the same one at all daemons that know the same candidates.
     /// `canary` states whether the canaries of a [`VersionFilter::Canary`] may be returned.
     pub(crate) fn eligible<'a>(
         &'a self,
@@ -42,7 +45,12 @@
             None => request.versions.allows(&it.server.group),
         };
         let any = !strict && !self.available(now, request).any(&fits);
-        self.available(now, request).filter(move |it| any || fits(it))
+        let fitting = self.available(now, request).filter(move |it| any || fits(it));
+        let (all, one) = match request.trial {
+            None => (Some(fitting), None),
+            Some(key) => (None, fitting.max_by_key(|it| trial_rank(it, key))),
+        };
+        all.into_iter().flatten().chain(one)
     }
 
     /// Returns the candidates of the service that take requests now.
@@ -81,6 +89,11 @@
     }
 }
 
+/// Returns the rank of a candidate for trials of a request.
+fn trial_rank(candidate: &Candidate, key: RequestKey) -> u64 {
+    xxh3_64_with_seed(candidate.member.vm.as_str().as_bytes(), key.0)
+}
+
 impl VersionFilter {
     /// Returns whether the filter accepts a version.
     fn allows(&self, group: &GroupName) -> bool {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //! messages received, and carry out the decision that is returned.
 
 mod attempt;
+mod blocklist;
 mod budget;
 mod candidate;
 mod configuration;
@@ -28,6 +29,7 @@
 mod usage;
 
 pub use attempt::{Choice, Next, Outcome, PlacementRequest, SendHistory};
+pub use blocklist::{Blocklist, Crash, Finding, MAX_REPORTED_CRASHES, Standing, Verdict};
 pub use budget::{RetryBudget, RetryBudgetSettings};
 pub use candidate::LoadReport;
 pub use configuration::{Configuration, Limits, Match, Route, Target};
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -9,7 +9,7 @@
 use rand::{Rng, RngExt};
 use serde::Deserialize;
 use serde_with::{DurationMilliSeconds, serde_as};
-use shallottack_kernel::{DataCentre, EndpointId, ErrorKind, Run, ServiceName, Time};
+use shallottack_kernel::{DataCentre, EndpointId, ErrorKind, ServiceName, Time};
 
 use crate::{
     Choice, Member, Next, Outcome, PlacementRequest, RetryBudget, SendHistory, Ticket,
@@ -349,6 +349,10 @@
                 }
                 return Next::Retry;
             }
+            // All daemons beside backend servers of the service refuse a blocked request.
+            Outcome::Refused { kind: ErrorKind::Blocked, retry_after } => {
+                (ErrorKind::Blocked, retry_after)
+            }
             Outcome::Refused { kind, retry_after } => {
                 if history.sent < self.settings.max_sends && request.deadline > now {
                     return Next::Retry;
@@ -381,7 +385,7 @@
                 (ErrorKind::DeadlineUnmet, Duration::ZERO)
             }
         };
-        Next::Fail { kind: final_kind(kind, history), retry_after: self.retry_after(rng, wait) }
+        Next::Fail { kind: history.final_kind(kind), retry_after: self.retry_after(rng, wait) }
     }
 
     /// Returns whether a request that may have run may be sent to another backend server.
@@ -534,7 +538,7 @@
         wait: Duration,
     ) -> Choice {
         let retry_after = self.retry_after(rng, wait);
-        Choice::Reject { kind: final_kind(kind, history), retry_after }
+        Choice::Reject { kind: history.final_kind(kind), retry_after }
     }
 
     /// Returns the time after which a caller may retry, with jitter so that callers rejected at the
@@ -554,11 +558,3 @@
     /// There are no candidates.
     None,
 }
-
-/// Returns the error kind that is consistent with the earlier sends of the request.
-fn final_kind(kind: ErrorKind, history: &SendHistory) -> ErrorKind {
-    match kind.answer().run {
-        Run::No if history.ran => ErrorKind::OutcomeUnknown,
-        _ => kind,
-    }
-}
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -20,9 +20,9 @@
 /// Time within which the first heartbeat of the next incarnation shows a crash.
 const RESTART_WINDOW: Duration = Duration::from_secs(3);
 /// Time for which a request that ran to its end is not suspected of a crash.
-const COMPLETION_WINDOW: Duration = Duration::from_secs(5);
+const COMPLETION_WINDOW: Duration = Duration::from_secs(30);
 /// Maximum number of completed runs remembered; above the number of runs in the window.
-const MAX_COMPLETED: usize = 1_024;
+const MAX_COMPLETED: usize = 4_096;
 /// Maximum number of runs without a response that are remembered.
 const MAX_UNANSWERED: usize = 256;
 /// Maximum number of requests in the report of a crash; those that started last are kept.
@@ -54,7 +54,8 @@
 pub struct CrashedRuns {
     /// Number of requests that the incarnation ran to their end before.
     pub completions: u32,
-    /// Requests that were in progress, without those that ran to their end shortly before.
+    /// Requests that were in progress, once for each run, without those that ran to their end shortly
+    /// before.
     pub requests: SmallVec<[RequestKey; 12]>,
 }
 
@@ -76,6 +77,11 @@
         self.running.insert(task, key);
     }
 
+    /// Returns whether a run of a request is in progress.
+    pub fn is_running(&self, key: RequestKey) -> bool {
+        self.running.values().any(|it| *it == key)
+    }
+
     /// Records the end of a run.
     pub fn finish(&mut self, now: Time, task: TaskId, end: RunEnd) {
         let Some(key) = self.running.remove(&task) else { return };
@@ -111,7 +117,7 @@
         let mut requests: SmallVec<[RequestKey; 12]> = SmallVec::new();
         for (time, key) in self.unanswered.iter().rev() {
             let suspected = now.since(*time) <= window && !completed(key);
-            if suspected && !requests.contains(key) && requests.len() < MAX_SUSPECTS {
+            if suspected && requests.len() < MAX_SUSPECTS {
                 requests.push(*key);
             }
         }
--- a/crates/fleet/tests/suite/fixture.rs
+++ b/crates/fleet/tests/suite/fixture.rs
@@ -9,6 +9,7 @@
     VersionFilter,
 };
 use shallottack_kernel::{DataCentre, EndpointId, GroupName, ServiceName, Time};
+use smallvec::SmallVec;
 
 pub fn at(ms: u64) -> Time {
     Time::from_millis(ms)
@@ -61,6 +62,8 @@
         link_kbps: 1_000_000,
         stopping: false,
         server: Some(ready(&format!("i-{vm}"))),
+        crashes: SmallVec::new(),
+        verdicts: SmallVec::new(),
     }
 }
 
@@ -75,6 +78,7 @@
         idempotent: true,
         attempts: 2,
         returned: false,
+        trial: None,
     }
 }
 
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -1,7 +1,9 @@
 //! Tests of routing, placement, queueing, membership and rollouts in a fleet.
 
+mod blocklist;
 mod budget;
 mod configuration;
+mod crash_storm;
 mod directory;
 mod fetch;
 mod fixture;
--- a/crates/fleet/tests/suite/rollout_load.rs
+++ b/crates/fleet/tests/suite/rollout_load.rs
@@ -198,6 +198,7 @@
             idempotent: true,
             attempts: 2,
             returned: false,
+            trial: None,
         };
         self.daemons[daemon].placement.count_request(now, &request.service);
         self.send(now, daemon, request, SendHistory::default());
--- a/crates/kernel/src/error.rs
+++ b/crates/kernel/src/error.rs
@@ -57,6 +57,8 @@
     DeadlineUnmet,
     /// No endpoint of the service is usable.
     NoEndpoint,
+    /// Backend servers crash when they run the request.
+    Blocked,
     /// The daemon or backend server is shutting down.
     Stopping,
     /// The platform is unreachable.
@@ -73,7 +75,7 @@
 
 impl ErrorKind {
     /// All kinds, in order of declaration.
-    pub const ALL: [ErrorKind; 19] = [
+    pub const ALL: [ErrorKind; 20] = [
         ErrorKind::BadRequest,
         ErrorKind::Unauthorized,
         ErrorKind::NoRoute,
@@ -87,6 +89,7 @@
         ErrorKind::Overloaded,
         ErrorKind::DeadlineUnmet,
         ErrorKind::NoEndpoint,
+        ErrorKind::Blocked,
         ErrorKind::Stopping,
         ErrorKind::PlatformDown,
         ErrorKind::NotReady,
@@ -122,6 +125,7 @@
             ErrorKind::Overloaded => later(429),
             ErrorKind::DeadlineUnmet
             | ErrorKind::NoEndpoint
+            | ErrorKind::Blocked
             | ErrorKind::Stopping
             | ErrorKind::PlatformDown
             | ErrorKind::NotReady => later(503),
@@ -147,6 +151,7 @@
             ErrorKind::Overloaded => "overloaded",
             ErrorKind::DeadlineUnmet => "deadline-unmet",
             ErrorKind::NoEndpoint => "no-endpoint",
+            ErrorKind::Blocked => "blocked",
             ErrorKind::Stopping => "stopping",
             ErrorKind::PlatformDown => "platform-down",
             ErrorKind::NotReady => "not-ready",
--- a/crates/shallottackd/tests/suite/fleet.rs
+++ b/crates/shallottackd/tests/suite/fleet.rs
@@ -1,5 +1,6 @@
 //! A fleet of daemons as separate processes, with stand-ins for the store and backend servers.
 
+mod crashing;
 mod responses;
 mod restored;
 
--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -1,12 +1,12 @@
 //! Handles requests of callers: routing, placement, attempts and the final response.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{borrow::Cow, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request};
 use shallottack_fleet::{
     Choice, Configuration, Match, Next, Outcome, PlacementRequest, RateLimit, RequestKey, Route,
-    SendHistory, Server, TaskId, VersionFilter,
+    SendHistory, Server, Standing, TaskId, VersionFilter,
 };
 use shallottack_http::{
     Application, ConnectionLimits, ERROR_HEADER, ParseError, RUN_HEADER, SizeLimits,
@@ -217,6 +217,7 @@
         idempotent: route.idempotent,
         attempts: route.attempts,
         returned: returned.is_some(),
+        trial: None,
     };
     {
         let mut shared = node.shared();
@@ -264,9 +265,12 @@
     // A backend server's error response, delivered if no other backend server can be tried.
     let mut failure: Option<CompleteResponse> = None;
     loop {
+        let placement = match standing_placement(node, call, history) {
+            Ok(placement) => placement,
+            Err(rejection) => return failure.ok_or(rejection),
+        };
         let now = node.now();
-        let choice =
-            node.shared().placement.choose(now, &mut rand::rng(), &call.placement, history);
+        let choice = node.shared().placement.choose(now, &mut rand::rng(), &placement, history);
         let target = match choice {
             Choice::Send { vm, address, server, may_wait, load, age } => {
                 node.events.write(&Event::Placed {
@@ -318,7 +322,7 @@
         let next = shared.placement.finish_send(
             ended,
             &mut rand::rng(),
-            &call.placement,
+            &placement,
             history,
             &vm,
             outcome,
@@ -344,6 +348,31 @@
     }
 }
 
+/// Returns how a request may be placed, or why it is rejected, given the crashes of backend servers
+/// that ran it.
+fn standing_placement<'a>(
+    node: &Node,
+    call: &'a Call,
+    history: &SendHistory,
+) -> Result<Cow<'a, PlacementRequest>, Rejection> {
+    match node.standing(call.key) {
+        Standing::Free => Ok(Cow::Borrowed(&call.placement)),
+        // A trial ends with its first run.
+        Standing::Trial if !history.ran => {
+            let trial = Some(call.key);
+            Ok(Cow::Owned(PlacementRequest { attempts: 1, trial, ..call.placement.clone() }))
+        }
+        Standing::Trial => Err(blocked(call, history, Duration::ZERO)),
+        Standing::Wait(wait) => Err(blocked(call, history, wait)),
+    }
+}
+
+fn blocked(call: &Call, history: &SendHistory, retry_after: Duration) -> Rejection {
+    let kind = history.final_kind(ErrorKind::Blocked);
+    let reason = format!("backend servers crashed while they ran request {}", call.key);
+    Rejection { kind, retry_after, reason, ran: history.ran }
+}
+
 /// Counts an answer for the rollout of the service, if there is one.
 fn count_for_rollout(
     node: &Node,
--- a/crates/sidecar/src/events.rs
+++ b/crates/sidecar/src/events.rs
@@ -11,7 +11,7 @@
 };
 
 use serde::Serialize;
-use shallottack_fleet::{CrashSign, RequestKey, RolloutState, ServerState};
+use shallottack_fleet::{CrashSign, Finding, RequestKey, RolloutState, ServerState};
 use shallottack_kernel::EndpointId;
 
 /// Capacity of the queue to the writer thread, a few seconds of lines at full load.
@@ -200,6 +200,12 @@
         completions: u32,
         requests: &'a [RequestKey],
     },
+    Verdict {
+        key: RequestKey,
+        service: &'a str,
+        finding: Finding,
+        at_ms: u64,
+    },
     Dropped {
         lines: u64,
     },
--- a/crates/sidecar/src/heartbeats.rs
+++ b/crates/sidecar/src/heartbeats.rs
@@ -27,7 +27,7 @@
     }
 }
 
-fn handle_heartbeat(node: &Node, id: &EndpointId, body: &[u8]) -> Response<Bytes> {
+fn handle_heartbeat(node: &Arc<Node>, id: &EndpointId, body: &[u8]) -> Response<Bytes> {
     let heartbeat = match heartbeat::decode(id.clone(), body) {
         Ok(heartbeat) => heartbeat,
         Err(reason) => {
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -16,14 +16,16 @@
 };
 use rand::RngExt;
 use shallottack_fleet::{
-    Arrival, Configuration, CrashSign, Directory, FetchTracker, Link, Load, LocalServer, Member,
-    MergeResult, NeighbourSettings, Neighbours, Placement, RateLimit, RejectedCallers, RetryBudget,
-    RetryBudgetSettings, Rollout, RowVersion, Runs, ServerUpdate, Slots, TaskId, Ticket, Tickets,
-    Wake, is_store_reader,
+    Arrival, Blocklist, Configuration, Crash, CrashSign, CrashedRuns, Directory, FetchTracker,
+    Link, Load, LocalServer, MAX_REPORTED_CRASHES, Member, MergeResult, NeighbourSettings,
+    Neighbours, Placement, RateLimit, RejectedCallers, RequestKey, RetryBudget,
+    RetryBudgetSettings, Rollout, RowVersion, Runs, ServerUpdate, Slots, Standing, TaskId, Ticket,
+    Tickets, Verdict, Wake, is_store_reader,
 };
 use shallottack_kernel::{Clock, EndpointId, ServiceName, SystemClock, Time};
 use shallottack_rpc::FleetPeers;
 use shallottack_site::configuration;
+use smallvec::SmallVec;
 
 use crate::{
     backend::{BackendClient, Notice},
@@ -91,6 +93,8 @@
     pub era: Option<u64>,
     /// Runs at the backend server on this VM.
     pub runs: Runs,
+    /// Requests that crash backend servers of the fleet.
+    pub blocklist: Blocklist,
     /// What the backend server last stated about itself.
     notice: Notice,
     /// Until when the backend server is considered down.
@@ -148,6 +152,8 @@
             link_kbps: (settings.link_mbps * 1_000.0) as u32,
             stopping: false,
             server: None,
+            crashes: SmallVec::new(),
+            verdicts: SmallVec::new(),
         };
         let mut directory = Directory::default();
         directory.merge(&own);
@@ -171,6 +177,7 @@
             stop_end: None,
             era: None,
             runs: Runs::default(),
+            blocklist: Blocklist::default(),
             notice: Notice::default(),
             backend_down_until: None,
         };
@@ -333,6 +340,8 @@
         if shared.neighbours.contains(member) {
             shared.placement.set_member(self.now(), member);
         }
+        let verdicts = shared.blocklist.record_member(unix_ms(), member);
+        drop(shared);
         let server = member.server.as_ref();
         self.events.write(&Event::Member {
             vm: member.vm.as_str(),
@@ -342,6 +351,7 @@
             incarnation: member.incarnation,
             sequence: member.sequence,
         });
+        self.apply_verdicts(&verdicts);
     }
 
     /// Removes a daemon that no longer exists.
@@ -356,14 +366,7 @@
 
     /// Changes this daemon's description and notifies the other daemons.
     pub fn update_own(&self, change: impl FnOnce(&mut Member)) {
-        {
-            let mut shared = self.shared();
-            let shared = &mut *shared;
-            change(&mut shared.own);
-            shared.own.sequence += 1;
-            shared.directory.merge(&shared.own);
-            shared.placement.set_member(self.now(), &shared.own);
-        }
+        self.shared().change_own(self.now(), change);
         // If the channel is full, the writer has already been woken.
         self.publish_signal.0.try_send(()).ok();
     }
@@ -457,22 +460,82 @@
     }
 
     /// Records that the backend server has crashed, unless it was leaving or nothing ran there.
-    pub fn record_crash(&self, sign: CrashSign) {
-        let now = self.now();
-        let mut shared = self.shared();
-        if !shared.local.is_ready() {
-            shared.runs.reset();
-            return;
-        }
-        let Some(runs) = shared.runs.take_crash(now, sign) else { return };
-        drop(shared);
+    pub fn record_crash(self: &Arc<Self>, sign: CrashSign) {
+        let (now, now_ms) = (self.now(), unix_ms());
+        let service = self.settings.service.clone();
+        let (crash, verdicts) = {
+            let mut shared = self.shared();
+            if !shared.local.is_ready() {
+                shared.runs.reset();
+                return;
+            }
+            let Some(runs) = shared.runs.take_crash(now, sign) else { return };
+            let CrashedRuns { completions, requests } = runs;
+            let crash = Crash { at_ms: now_ms, service, completions, requests };
+            let verdicts = shared.blocklist.record_crash(now_ms, &self.settings.vm, &crash);
+            (crash, verdicts)
+        };
         metrics::counter!("shallottack_backend_crashes_total").increment(1);
         self.events.write(&Event::Crash {
-            service: self.settings.service.as_str(),
+            service: crash.service.as_str(),
             sign,
-            completions: runs.completions,
-            requests: &runs.requests,
+            completions: crash.completions,
+            requests: &crash.requests,
         });
+        self.report_crashes(Some(crash));
+        self.apply_verdicts(&verdicts);
+        // Not left to the task that writes the own row, which may be waiting for the store.
+        self.broadcast();
+    }
+
+    /// Takes over the crashes and verdicts that an earlier daemon on this VM reported.
+    pub fn restore_crashes(&self, earlier: &Member) {
+        let verdicts = self.shared().blocklist.record_member(unix_ms(), earlier);
+        self.apply_verdicts(&verdicts);
+        earlier.crashes.iter().for_each(|it| self.report_crashes(Some(it.clone())));
+    }
+
+    /// Records that the backend server ran a request to its end.
+    pub fn record_completion(&self, key: RequestKey) {
+        let verdict = self.shared().blocklist.record_completion(unix_ms(), key);
+        self.apply_verdicts(verdict.as_slice());
+    }
+
+    /// Returns whether and how a request may run, given the crashes of backend servers that ran it.
+    pub fn standing(&self, key: RequestKey) -> Standing {
+        self.shared().blocklist.standing(unix_ms(), key)
+    }
+
+    /// Logs new verdicts, and describes those on requests for the service on this VM.
+    fn apply_verdicts(&self, verdicts: &[Verdict]) {
+        for it in verdicts {
+            let service = it.service.as_str();
+            let Verdict { key, finding, at_ms, .. } = *it;
+            self.events.write(&Event::Verdict { key, service, finding, at_ms });
+        }
+        if !verdicts.is_empty() {
+            self.report_crashes(None);
+        }
+    }
+
+    /// Updates the crashes and verdicts in this daemon's description, after another crash or verdict.
+    fn report_crashes(&self, another: Option<Crash>) {
+        let now_ms = unix_ms();
+        let mut shared = self.shared();
+        let blocked = shared.blocklist.blocked_count(now_ms);
+        metrics::gauge!("shallottack_blocked_requests").set(blocked as f64);
+        let mut crashes = shared.own.crashes.clone();
+        crashes.extend(another);
+        crashes.retain(|it| shared.blocklist.is_evidence(now_ms, it));
+        let surplus = crashes.len().saturating_sub(MAX_REPORTED_CRASHES);
+        crashes.drain(..surplus);
+        let verdicts = shared.blocklist.verdicts(&self.settings.service);
+        if (&shared.own.crashes, &shared.own.verdicts) == (&crashes, &verdicts) {
+            return;
+        }
+        shared.change_own(self.now(), |own| (own.crashes, own.verdicts) = (crashes, verdicts));
+        // If the channel is full, the writer has already been woken.
+        self.publish_signal.0.try_send(()).ok();
     }
 
     /// Records that the backend server refused a connection.
@@ -481,6 +544,11 @@
     }
 }
 
+/// Returns the Unix time in milliseconds, 0 with a clock before 1970.
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
 impl Shared {
     /// Registers a request that waits for a slot, and returns the receiver of the decision.
     pub fn register_waiter(&mut self, task: TaskId) -> Receiver<SlotDecision> {
@@ -489,6 +557,14 @@
         receiver
     }
 
+    /// Changes the description of this daemon.
+    fn change_own(&mut self, now: Time, change: impl FnOnce(&mut Member)) {
+        change(&mut self.own);
+        self.own.sequence += 1;
+        self.directory.merge(&self.own);
+        self.placement.set_member(now, &self.own);
+    }
+
     /// Sends decisions to queued requests.
     pub fn wake(&mut self, wakes: &[Wake]) {
         for wake in wakes {
--- a/crates/sidecar/src/publish.rs
+++ b/crates/sidecar/src/publish.rs
@@ -54,6 +54,7 @@
                 let earlier = row.value.as_deref().map(decode::<Member>);
                 if let Some(Ok(earlier)) = earlier {
                     restore_leave(node, &earlier);
+                    node.restore_crashes(&earlier);
                     node.update_own(|own| {
                         own.incarnation = own.incarnation.max(earlier.incarnation + 1);
                     });
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -6,7 +6,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
-use shallottack_fleet::{Admission, Arrival, RequestKey, RunEnd, TaskId};
+use shallottack_fleet::{Admission, Arrival, RequestKey, RunEnd, Standing, TaskId};
 use shallottack_kernel::{ErrorKind, Time};
 use shallottack_rpc::{FleetHandler, Frame, PROTOCOL};
 
@@ -21,6 +21,9 @@
 /// `Retry-After` of a refused request; its backend server may be available again by then.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// `Retry-After` of a request of which another run is on trial; that run has ended by then as a rule.
+const TRIAL_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+
 /// Handler of calls from other daemons.
 pub struct PeerService(pub Arc<Node>);
 
@@ -151,7 +154,11 @@
         ExchangeOutcome::NotRun(..) | ExchangeOutcome::Unsent(_) => RunEnd::NotRun,
         ExchangeOutcome::Broken(_) | ExchangeOutcome::TimedOut => RunEnd::Unanswered,
     };
+    let completed = guard.end == RunEnd::Completed;
     drop(guard);
+    if completed {
+        node.record_completion(key);
+    }
     if matches!(exchange, ExchangeOutcome::Broken(_) | ExchangeOutcome::Unsent(_)) {
         node.check_for_crash();
     }
@@ -200,6 +207,7 @@
 ) -> Result<SlotGuard<'a>, (ErrorKind, Duration)> {
     let now = node.now();
     let task = node.next_task();
+    check_standing(node, request)?;
     let waiter = {
         let mut shared = node.shared();
         if shared.own.stopping {
@@ -221,7 +229,7 @@
     let slot = SlotGuard { node, task, completed: false };
     let Some(decision) = waiter else { return Ok(slot) };
     match decision.recv().await {
-        Ok(SlotDecision::Run) => Ok(slot),
+        Ok(SlotDecision::Run) => check_standing(node, request).map(|()| slot),
         Ok(SlotDecision::Reject(retry_after)) => Err((ErrorKind::DeadlineUnmet, retry_after)),
         // The waiter was dropped without a decision, which does not happen: closing the slots
         // answers every waiter first.
@@ -229,6 +237,16 @@
     }
 }
 
+/// Returns why a request is refused, and when to retry, if backend servers crashed while they ran it.
+fn check_standing(node: &Node, request: &RunRequest) -> Result<(), (ErrorKind, Duration)> {
+    match node.standing(request.key) {
+        Standing::Free => Ok(()),
+        Standing::Trial if !node.shared().runs.is_running(request.key) => Ok(()),
+        Standing::Trial => Err((ErrorKind::Blocked, TRIAL_RETRY_AFTER)),
+        Standing::Wait(wait) => Err((ErrorKind::Blocked, wait)),
+    }
+}
+
 /// Returns the description of a request for the slots.
 pub fn new_arrival(task: TaskId, now: Time, request: &RunRequest) -> Arrival {
     Arrival {
--- a/crates/sidecar/tests/suite/events.rs
+++ b/crates/sidecar/tests/suite/events.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use shallottack_fleet::{CrashSign, RequestKey, RolloutState, ServerState};
+use shallottack_fleet::{CrashSign, Finding, RequestKey, RolloutState, ServerState};
 use shallottack_kernel::EndpointId;
 use shallottack_sidecar::{Event, EventLog};
 
@@ -118,6 +118,12 @@
             completions: 940,
             requests: &[RequestKey(0x9c4), RequestKey(0xf00d_0000_0000_0001)],
         },
+        Event::Verdict {
+            key: RequestKey(0x9c4),
+            service: "desk",
+            finding: Finding::Blocked,
+            at_ms: 1_774_139_556_085,
+        },
         Event::Answered {
             id,
             route: "r",
--- a/crates/standins/src/site/http.rs
+++ b/crates/standins/src/site/http.rs
@@ -2,8 +2,10 @@
 
 use std::{
     io::{self, BufRead, BufReader, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{Arc, Mutex, PoisonError},
     thread,
+    time::Duration,
 };
 
 /// Most headers of one message.
@@ -48,6 +50,8 @@
     },
     /// Writes these bytes, then closes the connection.
     Cut(&'static str),
+    /// Closes all connections and accepts none for this time.
+    Crash(Duration),
     /// Writes bytes without end, until the other side closes the connection.
     Endless {
         /// What comes first.
@@ -70,17 +74,68 @@
     let listener = TcpListener::bind(("127.0.0.1", 0))?;
     let address = listener.local_addr()?;
     thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let handler = handler.clone();
-            thread::spawn(move || {
-                // A connection that the other side breaks off ends its thread.
-                let _ = serve_connection(stream, handler);
-            });
+        let mut listener = listener;
+        loop {
+            let pause = serve_until_crash(&listener, &handler);
+            drop(listener);
+            thread::sleep(pause);
+            // The port stays free, since other processes are given other ports.
+            let Ok(opened) = TcpListener::bind(address) else { return };
+            listener = opened;
         }
     });
     Ok(address)
 }
 
+/// Connections of a stand-in, and for how long it is down if it has crashed.
+#[derive(Default)]
+struct Process {
+    streams: Vec<TcpStream>,
+    crashed: Option<Duration>,
+}
+
+/// Serves connections until a request crashes the stand-in; returns for how long it is down.
+fn serve_until_crash<F>(listener: &TcpListener, handler: &F) -> Duration
+where
+    F: Fn(Received) -> Reply + Clone + Send + 'static,
+{
+    let process = Arc::new(Mutex::new(Process::default()));
+    let locked = || process.lock().unwrap_or_else(PoisonError::into_inner);
+    for stream in listener.incoming().flatten() {
+        let mut guard = locked();
+        if let Some(pause) = guard.crashed {
+            return pause;
+        }
+        guard.streams.extend(stream.try_clone());
+        drop(guard);
+        let (handler, process) = (handler.clone(), Arc::clone(&process));
+        thread::spawn(move || {
+            // A connection that the other side breaks off ends its thread.
+            if let Ok(Some(pause)) = serve_connection(&stream, handler) {
+                crash(&process, &stream, pause);
+            }
+            // Its other handle stays open. The other side may have closed it.
+            let _ = stream.shutdown(Shutdown::Both);
+        });
+    }
+    Duration::ZERO
+}
+
+fn crash(process: &Mutex<Process>, stream: &TcpStream, pause: Duration) {
+    let streams = {
+        let mut guard = process.lock().unwrap_or_else(PoisonError::into_inner);
+        guard.crashed = Some(pause);
+        std::mem::take(&mut guard.streams)
+    };
+    let address = stream.local_addr();
+    for stream in streams {
+        // The other side may have closed it.
+        let _ = stream.shutdown(Shutdown::Both);
+    }
+    // Wakes the listener.
+    let _ = address.and_then(TcpStream::connect);
+}
+
 /// Sends raw requests over one connection and returns `count` responses.
 ///
 /// # Errors
@@ -96,13 +151,21 @@
         .collect()
 }
 
-fn serve_connection(stream: TcpStream, handler: impl Fn(Received) -> Reply) -> io::Result<()> {
+/// Serves a connection to its end; returns for how long the stand-in is down if it crashed.
+fn serve_connection(
+    stream: &TcpStream,
+    handler: impl Fn(Received) -> Reply,
+) -> io::Result<Option<Duration>> {
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
     while let Some(request) = receive(&mut reader)? {
         let (status, headers, body) = match handler(request) {
             Reply::Answer { status, headers, body } => (status, headers, body),
-            Reply::Cut(bytes) => return writer.write_all(bytes.as_bytes()),
+            Reply::Cut(bytes) => {
+                writer.write_all(bytes.as_bytes())?;
+                return Ok(None);
+            }
+            Reply::Crash(pause) => return Ok(Some(pause)),
             Reply::Endless { start, rest } => {
                 writer.write_all(start.as_bytes())?;
                 let rest = rest.repeat(ENDLESS_BYTES.div_ceil(rest.len()));
@@ -118,7 +181,7 @@
         head.push_str("\r\n");
         writer.write_all(&[head.as_bytes(), &body].concat())?;
     }
-    Ok(())
+    Ok(None)
 }
 
 /// Reads one message; `None` when the connection ended before it.
--- a/crates/standins/src/site/server.rs
+++ b/crates/standins/src/site/server.rs
@@ -31,6 +31,10 @@
 
 struct State {
     answering: Answering,
+    /// Path of the request that crashes it, and for how long it is then down.
+    deadly: Option<(String, Duration)>,
+    /// Number of its crashes.
+    crashes: u64,
     /// Headers of all answers besides those of the request.
     notice: Vec<(String, String)>,
     runs: Vec<Received>,
@@ -56,12 +60,14 @@
         let answering = Answering::After(Duration::ZERO);
         let state = Arc::new(Mutex::new(State {
             answering,
+            deadly: None,
+            crashes: 0,
             notice: Vec::new(),
             runs: Vec::new(),
             sequence: 0,
         }));
         let (own, served) = (id.to_owned(), Arc::clone(&state));
-        let address = serve(move |request| answer(&own, &served, request))?;
+        let address = serve(move |request| answer(&own, &served, &request))?;
         Ok(SiteServer { id: id.to_owned(), service: service.to_owned(), address, state })
     }
 
@@ -75,6 +81,16 @@
         lock(&self.state).answering = answering;
     }
 
+    /// Crashes from now on when it begins to run a request for `path`, and is down for `pause`.
+    pub fn crash_at(&self, path: &str, pause: Duration) {
+        lock(&self.state).deadly = Some((path.to_owned(), pause));
+    }
+
+    /// Returns how often it has crashed.
+    pub fn crashes(&self) -> u64 {
+        lock(&self.state).crashes
+    }
+
     /// States in all answers how many requests per second it takes; `None` ends this.
     pub fn state_limit(&self, per_second: Option<f64>) {
         let header = |it: f64| ("server-limit".to_owned(), it.to_string());
@@ -97,15 +113,15 @@
     ///
     /// Returns the error of the operating system when the daemon can't be reached.
     pub fn heartbeat(&self, to: SocketAddr, state: &str) -> io::Result<u16> {
-        let sequence = {
+        let (sequence, born) = {
             let mut state = lock(&self.state);
             state.sequence += 1;
-            state.sequence
+            (state.sequence, 1 + state.crashes)
         };
         let body = serde_json::json!({
             "service": self.service, "address": self.address.to_string(), "zone": "a",
             "version": "v1", "capacity": 4, "state": state, "warmup_left": "0ms",
-            "sequence": sequence, "born": 1,
+            "sequence": sequence, "born": born,
         })
         .to_string();
         let request = format!(
@@ -121,7 +137,7 @@
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn answer(id: &str, state: &Mutex<State>, request: Received) -> Reply {
+fn answer(id: &str, state: &Mutex<State>, request: &Received) -> Reply {
     let meant = request.header("target-instance").unwrap_or(id).to_owned();
     let request_id = request.header("request-id").unwrap_or_default().to_owned();
     if meant != id {
@@ -131,7 +147,11 @@
     let (answering, notice) = {
         let mut state = lock(state);
         if state.answering != Answering::Shed {
-            state.runs.push(request);
+            state.runs.push(request.clone());
+        }
+        if let Some((_, pause)) = state.deadly.clone().filter(|it| it.0 == request.target) {
+            (state.crashes, state.sequence) = (state.crashes + 1, 0);
+            return Reply::Crash(pause);
         }
         (state.answering, state.notice.clone())
     };
