Read the rows of the store one by one

Further report of the issue: with one odd entry among those of a table, such as one that is deeply nested or has a number too large, daemons read none of them. A daemon that started then got no configuration and knew no other daemon; one that ran followed the table no longer.

Cause: a page of rows was decoded as a whole. The parser fails at a nesting of 128, and at numbers out of range, so that one entry made the page unreadable, again with each retry. Values of rows were safe, since they are encoded as text and decoded on their own, with a line in the log.

Each entry is now decoded on its own. One that is no row is left out with a line (store, malformed), and paging goes on after the last key that can be read.

Test: odd_entry_hides_the_others, with eight kinds of entries in each of the three tables and odd values in rows. It failed on ('not within 8s: a request is served').

--- /dev/null
+++ b/crates/shallottackd/tests/suite/fleet/odd_entries.rs
@@ -0,0 +1,43 @@
+//! Entries of another writer among the rows that daemons read.
+
+use super::*;
+
+/// Entries that can't be read, each for another reason.
+fn unreadable() -> Vec<String> {
+    let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    vec![
+        format!(r#"{{"key":"a","value":{nested},"ver":1}}"#),
+        r#"{"key":"b","value":"e30=","ver":1e999}"#.to_owned(),
+        r#"{"key":"c","value":"e30=","ver":99999999999999999999999}"#.to_owned(),
+        r#"{"key":"d","value":{"address":"127.0.0.1:99999"},"ver":1}"#.to_owned(),
+        r#"{"key":7,"value":"not base64","ver":1}"#.to_owned(),
+        nested,
+        "1e999".to_owned(),
+        "null".to_owned(),
+    ]
+}
+
+/// Guards against daemons that end, or follow a table no longer, because of one entry in it.
+#[test]
+fn odd_entry_hides_the_others() {
+    let store = SiteStore::start().unwrap();
+    store.put("op", "config", &configuration("00000001", &["/count/"]));
+    for table in ["op", "members", "status"] {
+        unreadable().iter().for_each(|it| store.put_odd(table, it));
+    }
+    let nested = format!("{}{}", "[".repeat(20_000), "]".repeat(20_000));
+    let addresses = [r#"{"address":"127.0.0.1:99999"}"#, "1e999", nested.as_str()];
+    for (number, value) in addresses.iter().enumerate() {
+        for key in ["rollout/stock", "members", "odd"] {
+            store.put_bytes("op", &format!("{key}{number}"), value.as_bytes());
+            store.put_bytes("members", &format!("{key}{number}"), value.as_bytes());
+            store.put_bytes("status", &format!("{key}{number}"), value.as_bytes());
+        }
+    }
+    let mut shop = Vm::start("shop-1", "shop", store.address());
+    let mut stock = Vm::start("stock-1", "stock", store.address());
+    eventually("a request is served", || shop.get("/count/1", "c1").status == 200);
+    store.put("op", "config", &configuration("00000002", &["/count/", "/late/"]));
+    eventually("the new route is in force", || shop.get("/late/1", "l1").status == 200);
+    assert!(shop.child.try_wait().unwrap().is_none() && stock.child.try_wait().unwrap().is_none());
+}
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -167,6 +167,10 @@
         self.log_reachable(true, "");
         self.node.observe_era(rows.version.era, "store");
         self.backoff = Backoff::new();
+        for reason in &rows.malformed {
+            let (table, state) = (self.table.name(), "malformed");
+            self.node.events.write(&Event::Store { table, state, reason });
+        }
         for row in &rows.rows {
             match self.table {
                 Table::Operators => apply_operator_row(&self.node, row),
--- a/crates/standins/src/site/store.rs
+++ b/crates/standins/src/site/store.rs
@@ -32,6 +32,8 @@
     rows: BTreeMap<(String, String), (u64, Option<String>)>,
     version: u64,
     down: bool,
+    /// Entries that answers about a table hold as they are, before its rows.
+    odd: Vec<(String, String)>,
 }
 
 /// Table service on a loopback port.
@@ -66,6 +68,17 @@
         self.state.1.notify_all();
     }
 
+    /// Writes the encoded value of a row.
+    pub fn put_bytes(&self, table: &str, key: &str, value: &[u8]) {
+        put(&mut lock(&self.state), table, key, Some(STANDARD.encode(value)));
+        self.state.1.notify_all();
+    }
+
+    /// Lists `entry` as it is before the rows of a table from now on.
+    pub fn put_odd(&self, table: &str, entry: &str) {
+        lock(&self.state).odd.push((table.to_owned(), entry.to_owned()));
+    }
+
     /// Returns the value of a row.
     pub fn get(&self, table: &str, key: &str) -> Option<Vec<u8>> {
         let state = lock(&self.state);
@@ -160,7 +173,8 @@
     match url.path() {
         "/v1/rows-get" => {
             let state = lock(state);
-            reply(200, &rows(&state, &text("table"), 0, false))
+            let table = text("table");
+            reply_rows(&state, &table, &rows(&state, &table, 0, false))
         }
         "/v1/rows-feed" => feed(state, &text("table"), number("after"), number("wait_ms")),
         "/v1/rows-tx" => transaction(state, &request.body),
@@ -181,7 +195,7 @@
         let body = rows(&guard, table, after, true);
         let left = end.saturating_duration_since(Instant::now());
         if body["rows"].as_array().is_some_and(|it| !it.is_empty()) || left.is_zero() {
-            return reply(200, &body);
+            return reply_rows(&guard, table, &body);
         }
         guard = state.1.wait_timeout(guard, left).map_or_else(|it| it.into_inner().0, |it| it.0);
     }
@@ -238,6 +252,16 @@
     json!({"rows": rows, "has_more": false, "ver": state.version, "now": "1ms"})
 }
 
+/// Answers with the odd entries of a table before its rows.
+fn reply_rows(state: &State, table: &str, body: &Value) -> Reply {
+    let odd = state.odd.iter().filter(|it| it.0 == table).map(|it| format!("{},", it.1));
+    let mut text = body.to_string();
+    if body["rows"].as_array().is_some_and(|it| !it.is_empty()) {
+        text = text.replacen("\"rows\":[", &format!("\"rows\":[{}", odd.collect::<String>()), 1);
+    }
+    Reply::Answer { status: 200, headers: Vec::new(), body: text.into_bytes() }
+}
+
 fn reply(status: u16, body: &Value) -> Reply {
     Reply::Answer { status, headers: Vec::new(), body: body.to_string().into_bytes() }
 }
