Ask for no block of sound requests only in the test of other crashes

The path is that of the request by which the test crashes its servers, four copies of it on one connection: with copies cut at two servers it rests for two seconds, as it should, since it does crash them. The check is as strict as before for all other requests.

--- a/crates/shallottackd/tests/suite/fleet/crashing.rs
+++ b/crates/shallottackd/tests/suite/fleet/crashing.rs
@@ -123,11 +123,12 @@
         for vm in &stock {
             vm.server.crash_at(&trigger, Duration::from_millis(200));
         }
-        let path = if number % 40 == 0 { trigger } else { format!("/count/{}", number % 3) };
+        let crashes_now = number % 40 == 0;
+        let path = if crashes_now { trigger } else { format!("/count/{}", number % 3) };
         let requests: String =
             (0..4).map(|it| request("GET", &path, &format!("{number}-{it}"))).collect();
         let answers = shallottack_standins::site::exchange(shop.callers, &requests, 4).unwrap();
-        assert!(!answers.iter().any(is_blocked), "{path}");
+        assert!(crashes_now || !answers.iter().any(is_blocked), "{path}");
         heartbeats(&stock);
         number += 1;
     }
