Ignore descriptions of daemons that no daemon writes

A description under the key of another VM, or with the largest incarnation, was taken for the newest one of its VM, by all daemons and for good: what the VM wrote later was older.

Cause: the row's key was not compared with the description, and a number that orders descriptions was believed however large it was. A daemon that read such an entry as its own earlier one added one to the incarnation, which overflows.

Others are left out with a line (store, malformed), and the daemon of that VM writes its row again after its next start or change. A time that is too long for the clock is the latest time instead of an arbitrary one, and no more crashes and verdicts are taken from a description than a daemon writes.

Daemons believe each other's messages as before.

--- a/crates/fleet/src/blocklist.rs
+++ b/crates/fleet/src/blocklist.rs
@@ -169,12 +169,12 @@
     /// `now_ms` is the Unix time in milliseconds.
     pub fn record_member(&mut self, now_ms: u64, member: &Member) -> SmallVec<[Verdict; 1]> {
         let mut changed = SmallVec::new();
-        for verdict in &member.verdicts {
+        for verdict in member.verdicts.iter().take(MAX_REPORTED_VERDICTS) {
             if self.record_verdict(now_ms, verdict) {
                 changed.push(verdict.clone());
             }
         }
-        for crash in &member.crashes {
+        for crash in member.crashes.iter().take(MAX_REPORTED_CRASHES) {
             changed.extend(self.record_crash(now_ms, &member.vm, crash));
         }
         changed
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, VecDeque},
     net::SocketAddr,
+    time::Duration,
 };
 
 use serde::{Deserialize, Serialize};
@@ -22,6 +23,10 @@
 /// others.
 const SENDS_PER_DOUBLING: u32 = 2;
 
+/// Largest difference between the start of a daemon and the clock of another one. A daemon may start
+/// often within a millisecond of its clock, or after its clock was set back.
+const MAX_CLOCK_LEAD: Duration = Duration::from_secs(24 * 3_600);
+
 /// Digest of the members in one bucket.
 pub type Digest = u32;
 
@@ -52,6 +57,27 @@
 }
 
 impl Member {
+    /// Checks a record that is stored under `key`, which any writer may have written.
+    ///
+    /// `now_ms` is the Unix time in milliseconds.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why no daemon writes such a record.
+    pub fn check(&self, key: &str, now_ms: u64) -> Result<(), String> {
+        if self.vm.as_str() != key {
+            return Err(format!("describes {}", self.vm));
+        }
+        let latest = now_ms.saturating_add(MAX_CLOCK_LEAD.as_millis() as u64);
+        if self.incarnation > latest {
+            return Err(format!("incarnation {} is in the future", self.incarnation));
+        }
+        if self.address.port() == 0 || self.address.ip().is_unspecified() {
+            return Err(format!("{} is not an address of a daemon", self.address));
+        }
+        Ok(())
+    }
+
     fn version_key(&self) -> (u64, u64) {
         (self.incarnation, self.sequence)
     }
--- a/crates/kernel/src/clock.rs
+++ b/crates/kernel/src/clock.rs
@@ -31,7 +31,7 @@
     type Output = Time;
 
     fn add(self, rhs: Duration) -> Time {
-        Time(self.0.saturating_add(rhs.as_micros() as u64))
+        Time(self.0.saturating_add(u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX)))
     }
 }
 
--- a/crates/shallottackd/tests/suite/fleet/odd_entries.rs
+++ b/crates/shallottackd/tests/suite/fleet/odd_entries.rs
@@ -41,3 +41,46 @@
     eventually("the new route is in force", || shop.get("/late/1", "l1").status == 200);
     assert!(shop.child.try_wait().unwrap().is_none() && stock.child.try_wait().unwrap().is_none());
 }
+
+/// Returns a description with the latest possible incarnation and port 1 in place of its own.
+fn displaced(description: &[u8], vm: &str) -> Vec<u8> {
+    let name = 1 + vm.len();
+    assert_eq!(&description[1..name], vm.as_bytes());
+    let varint =
+        |from: usize| from + description[from..].iter().position(|it| it & 0x80 == 0).unwrap() + 1;
+    let sequence = varint(name);
+    // The kind of the address and the IP address stand before the port.
+    let port = varint(sequence) + 5;
+    let latest = [0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x01];
+    [
+        &description[..name],
+        &latest,
+        &description[sequence..port],
+        &[1],
+        &description[varint(port)..],
+    ]
+    .concat()
+}
+
+/// Guards against an entry that replaces the description of a VM, under another key or with a number
+/// that no later description exceeds.
+#[test]
+fn odd_entry_replaces_a_vm() {
+    let (store, shop, mut stock) = fleet(&["stock-1"]);
+    let description = store.get("members", "stock-1").expect("written before it is known");
+    let odd = displaced(&description, "stock-1");
+    store.put_bytes("members", "odd", &odd);
+    store.put_bytes("members", "stock-1", &odd);
+    store.put("op", "config", &configuration("00000002", &["/count/", "/late/"]));
+    eventually("the new route is in force", || shop.get("/late/1", "l1").status == 200);
+    let began = Instant::now();
+    eventually("the rows are read", || {
+        assert_eq!(shop.get("/count/1", "c1").status, 200);
+        began.elapsed() > Duration::from_secs(1)
+    });
+    stock[0].restart();
+    eventually("the VM is known again", || shop.get("/count/1", "c2").status == 200);
+    eventually("the daemon writes its row again", || {
+        store.get("members", "stock-1").is_some_and(|it| it != odd)
+    });
+}
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -14,7 +14,7 @@
     backoff::Backoff,
     events::Event,
     message::{OrderRow, decode},
-    node::Node,
+    node::{Node, unix_ms},
 };
 
 /// Table in which each daemon writes its own description.
@@ -228,12 +228,23 @@
 fn apply_member_row(node: &Arc<Node>, row: &Row) {
     // A row without a value was deleted by its daemon when it stopped.
     let Some(bytes) = &row.value else { return };
-    match decode::<Member>(bytes) {
+    match decode_member(&row.key, bytes) {
         Ok(member) => node.apply_member(&member),
         Err(reason) => log_malformed(node, &row.key, &reason),
     }
 }
 
+/// Decodes the description of a daemon from the row `key`.
+///
+/// # Errors
+///
+/// Returns the reason why the row is not the description of the daemon of that VM.
+pub fn decode_member(key: &str, bytes: &[u8]) -> Result<Member, String> {
+    let member: Member = decode(bytes)?;
+    member.check(key, unix_ms())?;
+    Ok(member)
+}
+
 fn apply_status_row(node: &Arc<Node>, row: &Row) {
     let (Some(bytes), Some(service)) = (&row.value, rollout::service(&row.key)) else { return };
     match rollout::decode_status(bytes) {
@@ -242,7 +253,8 @@
     }
 }
 
-fn log_malformed(node: &Node, key: &str, reason: &str) {
+/// Logs that a row of another writer is left out.
+pub fn log_malformed(node: &Node, key: &str, reason: &str) {
     let reason = format!("row {key}: {reason}");
     node.events.write(&Event::Store { table: "", state: "malformed", reason: &reason });
 }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -545,7 +545,7 @@
 }
 
 /// Returns the Unix time in milliseconds, 0 with a clock before 1970.
-fn unix_ms() -> u64 {
+pub fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
 
--- a/crates/sidecar/src/publish.rs
+++ b/crates/sidecar/src/publish.rs
@@ -9,8 +9,8 @@
 use crate::{
     backoff::Backoff,
     events::Event,
-    follow::MEMBERS_TABLE,
-    message::{decode, encode},
+    follow::{MEMBERS_TABLE, decode_member, log_malformed},
+    message::encode,
     node::Node,
 };
 
@@ -51,13 +51,11 @@
         match store.row(MEMBERS_TABLE, node.settings.vm.as_str()).await {
             Ok(row) => {
                 let Some(row) = row else { return RowVersion::default() };
-                let earlier = row.value.as_deref().map(decode::<Member>);
-                if let Some(Ok(earlier)) = earlier {
-                    restore_leave(node, &earlier);
-                    node.restore_crashes(&earlier);
-                    node.update_own(|own| {
-                        own.incarnation = own.incarnation.max(earlier.incarnation + 1);
-                    });
+                let earlier = row.value.as_deref().map(|it| decode_member(&row.key, it));
+                match earlier {
+                    Some(Ok(earlier)) => restore(node, &earlier),
+                    Some(Err(reason)) => log_malformed(node, &row.key, &reason),
+                    None => {}
                 }
                 return row.version;
             }
@@ -69,6 +67,13 @@
     }
 }
 
+/// Takes over what an earlier daemon on this VM described.
+fn restore(node: &Arc<Node>, earlier: &Member) {
+    restore_leave(node, earlier);
+    node.restore_crashes(earlier);
+    node.update_own(|own| own.incarnation = own.incarnation.max(earlier.incarnation + 1));
+}
+
 /// Takes over from an earlier daemon on this VM that the backend server is leaving, since a late
 /// heartbeat may still state that it is ready.
 fn restore_leave(node: &Node, earlier: &Member) {
