Move the handling of crashes out of the node's file, and end old suspicions

The Unix time was read in three places, each with its own fallback, and is read in one.

A request that rests or is on trial is free again when the crashes are ten minutes old, as a comment said already; until now it was only with the next crash or verdict (suspect_rests_and_is_tried_at_one_server failed without this). A further test shows that daemons select the same server for a trial and do not repeat it elsewhere.

--- a/crates/fleet/src/blocklist.rs
+++ b/crates/fleet/src/blocklist.rs
@@ -259,7 +259,8 @@
         if let Some(verdict) = self.verdicts.get(&key).filter(|it| it.finding == Finding::Blocked) {
             return verdict.blocked_until().checked_sub(now_ms).map_or(Standing::Trial, wait);
         }
-        let Some(suspect) = self.suspects.get(&key) else { return Standing::Free };
+        let current = |it: &&Suspicion| is_current(now_ms, it.last_ms, EVIDENCE_TIME);
+        let Some(suspect) = self.suspects.get(&key).filter(current) else { return Standing::Free };
         let resumes_ms = suspect.last_ms + millis(REPEAT_TIME);
         resumes_ms.checked_sub(now_ms).map_or(Standing::Trial, wait)
     }
@@ -354,14 +355,14 @@
         repeated.sort_unstable_by(|a, b| b.cmp(a));
         let repeated: Vec<RequestKey> = repeated.into_iter().map(|it| it.1).collect();
         let open = self.open_reports();
-        repeated.iter().find_map(|it| self.convict(&open, &repeated, *it))
+        repeated.iter().find_map(|it| self.evaluate(&open, &repeated, *it))
     }
 
     /// Returns the verdict that a request is blocked if the crashes prove that it causes them.
     ///
     /// `repeated` are the requests that were in progress at several of the crashes, most frequent
     /// first.
-    fn convict(
+    fn evaluate(
         &self,
         open: &[&Report],
         repeated: &[RequestKey],
--- a/crates/fleet/tests/suite/blocklist.rs
+++ b/crates/fleet/tests/suite/blocklist.rs
@@ -1,6 +1,8 @@
 //! Requests that crash backend servers, told apart from those that run while servers crash.
 
-use shallottack_fleet::{Blocklist, Crash, Finding, Member, RequestKey, Verdict};
+use std::time::Duration;
+
+use shallottack_fleet::{Blocklist, Crash, Finding, Member, RequestKey, Standing, Verdict};
 use smallvec::SmallVec;
 
 use crate::fixture::{id, member, service};
@@ -154,6 +156,22 @@
     insta::assert_compact_debug_snapshot!(waits);
 }
 
+/// Guards against copies of a request that crash several servers at once while it is not blocked, and
+/// against a suspicion that never ends.
+#[test]
+fn suspect_rests_and_is_tried_at_one_server() {
+    let mut list = Blocklist::default();
+    record_every(100, &mut list, START, &[&[7, 7, 1], &[7, 1]]);
+    let last = START + 100;
+    assert_eq!(list.standing(last, RequestKey(1)), Standing::Free);
+    let wait = Duration::from_millis(1_500);
+    assert_eq!(list.standing(last + 500, DEADLY), Standing::Wait(wait));
+    assert_eq!(list.standing(last + 2_000, DEADLY), Standing::Trial);
+    assert_eq!(list.standing(last + 11 * MINUTE, DEADLY), Standing::Free);
+    list.record_completion(last + 2_100, DEADLY);
+    assert_eq!(list.standing(last + 2_100, DEADLY), Standing::Free);
+}
+
 /// Guards against daemons that believe different things, whatever the order of what they receive.
 #[test]
 fn restarted_daemon_learns_from_descriptions() {
--- a/crates/fleet/tests/suite/placement.rs
+++ b/crates/fleet/tests/suite/placement.rs
@@ -2,7 +2,8 @@
 
 use shallottack_fleet::{
     Choice, Load, LoadReport, Member, Next, Outcome, Placement, PlacementRequest,
-    PlacementSettings, RetryBudget, RetryBudgetSettings, SendHistory, Ticket, VersionFilter,
+    PlacementSettings, RequestKey, RetryBudget, RetryBudgetSettings, SendHistory, Ticket,
+    VersionFilter,
 };
 use shallottack_kernel::{DataCentre, ErrorKind};
 
@@ -404,3 +405,23 @@
         placement.record_load(at(3), &id("a2"), load(2, 0));
     }
 }
+
+/// Guards against copies of a request on trial that run at several backend servers, since daemons
+/// choose different ones, and against a trial that is repeated elsewhere after it was refused.
+#[test]
+fn trial_has_one_backend_server() {
+    let vms = [("vm-1", "a"), ("vm-2", "a"), ("vm-3", "b"), ("vm-4", "b")];
+    for key in 0..40 {
+        let request = PlacementRequest { trial: Some(RequestKey(key)), ..request(at(0)) };
+        let mut all = placement(&vms);
+        let mut reversed = placement(&[vms[3], vms[2], vms[1], vms[0]]);
+        let mut history = SendHistory::default();
+        let first = all.choose(at(0), &mut rng(key), &request, &mut history);
+        let other = reversed.choose(at(0), &mut rng(99), &request, &mut SendHistory::default());
+        assert_eq!(chosen(&first), chosen(&other));
+        let vm = id(chosen(&first));
+        let outcome = Outcome::Refused { kind: ErrorKind::Blocked, retry_after: ms(900) };
+        let next = all.finish_send(at(1), &mut rng(1), &request, &mut history, &vm, outcome);
+        assert_eq!(next, Next::Fail { kind: ErrorKind::Blocked, retry_after: ms(900) });
+    }
+}
--- a/crates/kernel/src/clock.rs
+++ b/crates/kernel/src/clock.rs
@@ -3,7 +3,7 @@
 use std::{
     ops::{Add, Sub},
     sync::atomic::{AtomicU64, Ordering},
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use serde::{Deserialize, Serialize};
@@ -74,6 +74,11 @@
     }
 }
 
+/// Returns the Unix time in milliseconds, 0 with a clock before 1970.
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
 /// Clock that advances only by [`ManualClock::advance`], for tests and trace replay.
 #[derive(Debug, Default)]
 pub struct ManualClock {
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -5,7 +5,7 @@
 mod name;
 mod registry;
 
-pub use clock::{Clock, ManualClock, SystemClock, Time};
+pub use clock::{Clock, ManualClock, SystemClock, Time, unix_ms};
 pub use error::{Answer, ErrorKind, Failure, Run};
 pub use name::{
     BadName, ClassName, DataCentre, EndpointId, GroupName, MAX_NAME_BYTES, RouteName, ServiceName,
--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -1,12 +1,12 @@
 //! Handles requests of callers: routing, placement, attempts and the final response.
 
-use std::{borrow::Cow, net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request};
 use shallottack_fleet::{
     Choice, Configuration, Match, Next, Outcome, PlacementRequest, RateLimit, RequestKey, Route,
-    SendHistory, Server, Standing, TaskId, VersionFilter,
+    SendHistory, Server, TaskId, VersionFilter,
 };
 use shallottack_http::{
     Application, ConnectionLimits, ERROR_HEADER, ParseError, RUN_HEADER, SizeLimits,
@@ -265,9 +265,9 @@
     // A backend server's error response, delivered if no other backend server can be tried.
     let mut failure: Option<CompleteResponse> = None;
     loop {
-        let placement = match standing_placement(node, call, history) {
+        let placement = match node.check_placement(call.key, &call.placement, history.ran) {
             Ok(placement) => placement,
-            Err(rejection) => return failure.ok_or(rejection),
+            Err(wait) => return failure.ok_or_else(|| blocked(call, history, wait)),
         };
         let now = node.now();
         let choice = node.shared().placement.choose(now, &mut rand::rng(), &placement, history);
@@ -348,25 +348,7 @@
     }
 }
 
-/// Returns how a request may be placed, or why it is rejected, given the crashes of backend servers
-/// that ran it.
-fn standing_placement<'a>(
-    node: &Node,
-    call: &'a Call,
-    history: &SendHistory,
-) -> Result<Cow<'a, PlacementRequest>, Rejection> {
-    match node.standing(call.key) {
-        Standing::Free => Ok(Cow::Borrowed(&call.placement)),
-        // A trial ends with its first run.
-        Standing::Trial if !history.ran => {
-            let trial = Some(call.key);
-            Ok(Cow::Owned(PlacementRequest { attempts: 1, trial, ..call.placement.clone() }))
-        }
-        Standing::Trial => Err(blocked(call, history, Duration::ZERO)),
-        Standing::Wait(wait) => Err(blocked(call, history, wait)),
-    }
-}
-
+/// Returns the rejection of a request at which backend servers crashed.
 fn blocked(call: &Call, history: &SendHistory, retry_after: Duration) -> Rejection {
     let kind = history.final_kind(ErrorKind::Blocked);
     let reason = format!("backend servers crashed while they ran request {}", call.key);
--- a/crates/sidecar/src/events.rs
+++ b/crates/sidecar/src/events.rs
@@ -7,12 +7,12 @@
         atomic::{AtomicU64, Ordering::Relaxed},
         mpsc::{Receiver, SyncSender, sync_channel},
     },
-    time::{Instant, SystemTime, UNIX_EPOCH},
+    time::Instant,
 };
 
 use serde::Serialize;
 use shallottack_fleet::{CrashSign, Finding, RequestKey, RolloutState, ServerState};
-use shallottack_kernel::EndpointId;
+use shallottack_kernel::{EndpointId, unix_ms};
 
 /// Capacity of the queue to the writer thread, a few seconds of lines at full load.
 const QUEUE_LINES: usize = 4_096;
@@ -306,8 +306,7 @@
 
     fn push(&self, event: &Event<'_>) {
         // A clock before 1970 is logged as time 0; the lines stay in order.
-        let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let line = Line { time: time.as_millis() as u64, event };
+        let line = Line { time: unix_ms(), event };
         let written = serde_json::to_vec(&line).map(|mut it| {
             it.push(b'\n');
             self.lines.try_send(it).is_ok()
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -5,6 +5,7 @@
 use async_std::task;
 use rand::RngExt;
 use shallottack_fleet::{Member, RowVersion};
+use shallottack_kernel::unix_ms;
 use shallottack_site::{
     configuration, rollout,
     store::{Row, Rows, Store, StoreError},
@@ -14,7 +15,7 @@
     backoff::Backoff,
     events::Event,
     message::{OrderRow, decode},
-    node::{Node, unix_ms},
+    node::Node,
 };
 
 /// Table in which each daemon writes its own description.
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -9,6 +9,7 @@
 mod backoff;
 mod callers;
 pub mod config_history;
+mod crashes;
 mod daemon;
 mod events;
 mod follow;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -6,7 +6,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::SeqCst},
     },
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 
 use arc_swap::ArcSwapOption;
@@ -16,13 +16,12 @@
 };
 use rand::RngExt;
 use shallottack_fleet::{
-    Arrival, Blocklist, Configuration, Crash, CrashSign, CrashedRuns, Directory, FetchTracker,
-    Link, Load, LocalServer, MAX_REPORTED_CRASHES, Member, MergeResult, NeighbourSettings,
-    Neighbours, Placement, RateLimit, RejectedCallers, RequestKey, RetryBudget,
-    RetryBudgetSettings, Rollout, RowVersion, Runs, ServerUpdate, Slots, Standing, TaskId, Ticket,
-    Tickets, Verdict, Wake, is_store_reader,
+    Arrival, Blocklist, Configuration, Directory, FetchTracker, Link, Load, LocalServer, Member,
+    MergeResult, NeighbourSettings, Neighbours, Placement, RateLimit, RejectedCallers, RetryBudget,
+    RetryBudgetSettings, Rollout, RowVersion, Runs, ServerUpdate, Slots, TaskId, Ticket, Tickets,
+    Wake, is_store_reader,
 };
-use shallottack_kernel::{Clock, EndpointId, ServiceName, SystemClock, Time};
+use shallottack_kernel::{Clock, EndpointId, ServiceName, SystemClock, Time, unix_ms};
 use shallottack_rpc::FleetPeers;
 use shallottack_site::configuration;
 use smallvec::SmallVec;
@@ -140,12 +139,10 @@
             settings.data_centre.clone(),
             budget,
         );
-        // With a clock before 1970 this is 0; it is raised above the incarnation in the daemon's
-        // row of the store.
-        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let own = Member {
             vm: settings.vm.clone(),
-            incarnation: since_epoch.as_millis() as u64,
+            // Raised above the incarnation in the daemon's row of the store.
+            incarnation: unix_ms(),
             sequence: 1,
             address: settings.listen.peers,
             data_centre: settings.data_centre.clone(),
@@ -445,110 +442,12 @@
         }
     }
 
-    /// Checks whether the backend server has crashed, after a run that ended without a response or a
-    /// connection that failed.
-    pub fn check_for_crash(self: &Arc<Self>) {
-        if !self.shared().runs.may_have_crashed(self.now()) {
-            return;
-        }
-        let node = Arc::clone(self);
-        task::spawn(async move {
-            if node.backend.refuses_connections().await {
-                node.record_crash(CrashSign::Refused);
-            }
-        });
-    }
-
-    /// Records that the backend server has crashed, unless it was leaving or nothing ran there.
-    pub fn record_crash(self: &Arc<Self>, sign: CrashSign) {
-        let (now, now_ms) = (self.now(), unix_ms());
-        let service = self.settings.service.clone();
-        let (crash, verdicts) = {
-            let mut shared = self.shared();
-            if !shared.local.is_ready() {
-                shared.runs.reset();
-                return;
-            }
-            let Some(runs) = shared.runs.take_crash(now, sign) else { return };
-            let CrashedRuns { completions, requests } = runs;
-            let crash = Crash { at_ms: now_ms, service, completions, requests };
-            let verdicts = shared.blocklist.record_crash(now_ms, &self.settings.vm, &crash);
-            (crash, verdicts)
-        };
-        metrics::counter!("shallottack_backend_crashes_total").increment(1);
-        self.events.write(&Event::Crash {
-            service: crash.service.as_str(),
-            sign,
-            completions: crash.completions,
-            requests: &crash.requests,
-        });
-        self.report_crashes(Some(crash));
-        self.apply_verdicts(&verdicts);
-        // Not left to the task that writes the own row, which may be waiting for the store.
-        self.broadcast();
-    }
-
-    /// Takes over the crashes and verdicts that an earlier daemon on this VM reported.
-    pub fn restore_crashes(&self, earlier: &Member) {
-        let verdicts = self.shared().blocklist.record_member(unix_ms(), earlier);
-        self.apply_verdicts(&verdicts);
-        earlier.crashes.iter().for_each(|it| self.report_crashes(Some(it.clone())));
-    }
-
-    /// Records that the backend server ran a request to its end.
-    pub fn record_completion(&self, key: RequestKey) {
-        let verdict = self.shared().blocklist.record_completion(unix_ms(), key);
-        self.apply_verdicts(verdict.as_slice());
-    }
-
-    /// Returns whether and how a request may run, given the crashes of backend servers that ran it.
-    pub fn standing(&self, key: RequestKey) -> Standing {
-        self.shared().blocklist.standing(unix_ms(), key)
-    }
-
-    /// Logs new verdicts, and describes those on requests for the service on this VM.
-    fn apply_verdicts(&self, verdicts: &[Verdict]) {
-        for it in verdicts {
-            let service = it.service.as_str();
-            let Verdict { key, finding, at_ms, .. } = *it;
-            self.events.write(&Event::Verdict { key, service, finding, at_ms });
-        }
-        if !verdicts.is_empty() {
-            self.report_crashes(None);
-        }
-    }
-
-    /// Updates the crashes and verdicts in this daemon's description, after another crash or verdict.
-    fn report_crashes(&self, another: Option<Crash>) {
-        let now_ms = unix_ms();
-        let mut shared = self.shared();
-        let blocked = shared.blocklist.blocked_count(now_ms);
-        metrics::gauge!("shallottack_blocked_requests").set(blocked as f64);
-        let mut crashes = shared.own.crashes.clone();
-        crashes.extend(another);
-        crashes.retain(|it| shared.blocklist.is_evidence(now_ms, it));
-        let surplus = crashes.len().saturating_sub(MAX_REPORTED_CRASHES);
-        crashes.drain(..surplus);
-        let verdicts = shared.blocklist.verdicts(&self.settings.service);
-        if (&shared.own.crashes, &shared.own.verdicts) == (&crashes, &verdicts) {
-            return;
-        }
-        shared.change_own(self.now(), |own| (own.crashes, own.verdicts) = (crashes, verdicts));
-        // If the channel is full, the writer has already been woken.
-        self.publish_signal.0.try_send(()).ok();
-    }
-
     /// Records that the backend server refused a connection.
     pub fn backend_refused(&self) {
         self.shared().backend_down_until = Some(self.now() + BACKEND_HOLDOFF);
     }
 }
 
-/// Returns the Unix time in milliseconds, 0 with a clock before 1970.
-pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
-}
-
 impl Shared {
     /// Registers a request that waits for a slot, and returns the receiver of the decision.
     pub fn register_waiter(&mut self, task: TaskId) -> Receiver<SlotDecision> {
@@ -558,7 +457,7 @@
     }
 
     /// Changes the description of this daemon.
-    fn change_own(&mut self, now: Time, change: impl FnOnce(&mut Member)) {
+    pub fn change_own(&mut self, now: Time, change: impl FnOnce(&mut Member)) {
         change(&mut self.own);
         self.own.sequence += 1;
         self.directory.merge(&self.own);
--- a/crates/standins/src/site/server.rs
+++ b/crates/standins/src/site/server.rs
@@ -32,7 +32,7 @@
 struct State {
     answering: Answering,
     /// Path of the request that crashes it, and for how long it is then down.
-    deadly: Option<(String, Duration)>,
+    crashing: Option<(String, Duration)>,
     /// Number of its crashes.
     crashes: u64,
     /// Headers of all answers besides those of the request.
@@ -60,7 +60,7 @@
         let answering = Answering::After(Duration::ZERO);
         let state = Arc::new(Mutex::new(State {
             answering,
-            deadly: None,
+            crashing: None,
             crashes: 0,
             notice: Vec::new(),
             runs: Vec::new(),
@@ -83,7 +83,7 @@
 
     /// Crashes from now on when it begins to run a request for `path`, and is down for `pause`.
     pub fn crash_at(&self, path: &str, pause: Duration) {
-        lock(&self.state).deadly = Some((path.to_owned(), pause));
+        lock(&self.state).crashing = Some((path.to_owned(), pause));
     }
 
     /// Returns how often it has crashed.
@@ -149,7 +149,7 @@
         if state.answering != Answering::Shed {
             state.runs.push(request.clone());
         }
-        if let Some((_, pause)) = state.deadly.clone().filter(|it| it.0 == request.target) {
+        if let Some((_, pause)) = state.crashing.clone().filter(|it| it.0 == request.target) {
             (state.crashes, state.sequence) = (state.crashes + 1, 0);
             return Reply::Crash(pause);
         }
