State the whole time for which another daemon refuses a blocked request

A request that the daemon beside a backend server refused as blocked was rejected with a wait of at most one second, spread at random, like one under overload: the caller was asked to come back too early. Cause: the wait of every refusal went through the limit for overload. It is passed on as it is for blocked requests.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -351,7 +351,7 @@
             }
             // All daemons beside backend servers of the service refuse a blocked request.
             Outcome::Refused { kind: ErrorKind::Blocked, retry_after } => {
-                (ErrorKind::Blocked, retry_after)
+                return Next::Fail { kind: history.final_kind(ErrorKind::Blocked), retry_after };
             }
             Outcome::Refused { kind, retry_after } => {
                 if history.sent < self.settings.max_sends && request.deadline > now {
