Bound the verdicts that one crash leads to

A daemon that remembers 256 blocked requests could judge two others without end: each new verdict took the place of the other one, whose crashes then proved it again. The daemon would have hung with its state locked, which a flood of different requests that crash servers could bring about.

A crash now leads to eight verdicts at most. Test: full_list_is_judged_without_end, which was still running after 70 s before and takes milliseconds now.

--- a/crates/fleet/src/blocklist.rs
+++ b/crates/fleet/src/blocklist.rs
@@ -55,6 +55,8 @@
 const MAX_CRASHES: usize = 256;
 /// Maximum number of verdicts remembered.
 const MAX_VERDICTS: usize = 256;
+/// Maximum number of requests that one more crash can prove to crash backend servers.
+const MAX_NEW_VERDICTS: usize = 8;
 /// Maximum number of own crashes in a daemon's description.
 pub const MAX_REPORTED_CRASHES: usize = 4;
 /// Maximum number of verdicts in a daemon's description.
@@ -209,7 +211,9 @@
         }
         let cut = crash.requests.len();
         self.reports.push_back(Report { vm: vm.clone(), crash, cut });
-        while let Some(verdict) = self.judge() {
+        // Bounded, since a full list may forget a verdict that its crashes still prove.
+        for _ in 0..MAX_NEW_VERDICTS {
+            let Some(verdict) = self.judge() else { break };
             self.insert(now_ms, verdict.clone());
             changed.push(verdict);
         }
--- a/crates/fleet/tests/suite/blocklist.rs
+++ b/crates/fleet/tests/suite/blocklist.rs
@@ -172,6 +172,30 @@
     assert_eq!(list.standing(last + 2_100, DEADLY), Standing::Free);
 }
 
+/// Guards against a daemon that judges the same requests without end when it remembers no more
+/// verdicts.
+#[test]
+fn full_list_is_judged_without_end() {
+    let mut list = Blocklist::default();
+    let now_ms = START + 10 * APART;
+    for key in 1_000..1_256 {
+        let verdict = Verdict {
+            key: RequestKey(key),
+            service: service("stock"),
+            at_ms: now_ms,
+            finding: Finding::Blocked,
+            trials: 0,
+        };
+        assert!(list.record_verdict(now_ms, &verdict));
+    }
+    let crashes: [&[u64]; 6] = [&[7, 1], &[8, 2], &[7, 3], &[8, 4], &[7, 5], &[8, 6]];
+    for (number, requests) in crashes.iter().enumerate() {
+        let crash = crash(START + number as u64 * APART, requests);
+        list.record_crash(now_ms, &id(&format!("vm-{number}")), &crash);
+    }
+    assert_eq!(list.blocked_count(now_ms), 256);
+}
+
 /// Guards against daemons that believe different things, whatever the order of what they receive.
 #[test]
 fn restarted_daemon_learns_from_descriptions() {
