Log why requests are sent once more, and by which budget

A request that was sent once more had a second `placed` line, without a cause and without the state of the retry budget that allowed it, so that repeats after rejections, cuts, failures and those of nested calls looked alike.

`repeat` is one line for each decision with its cause, inputs and outcome. `ran` names the cause of a repeat and is written for cancelled runs, too. The budgets of each service are gauges by cause. No decision changes.

--- a/crates/fleet/src/attempt.rs
+++ b/crates/fleet/src/attempt.rs
@@ -5,7 +5,7 @@
 use shallottack_kernel::{EndpointId, ErrorKind, Run, ServiceName, Time};
 use smallvec::SmallVec;
 
-use crate::{Load, RequestKey, Server, Ticket, VersionFilter};
+use crate::{Load, RepeatCause, RepeatDecision, RequestKey, Server, Ticket, VersionFilter};
 
 /// A request that needs a backend server.
 #[derive(Debug, Clone)]
@@ -43,6 +43,10 @@
     pub arrivals: u8,
     /// Whether a backend server may have run the request.
     pub ran: bool,
+    /// Why the last granted repeat was needed; `None` for a request that arrived nowhere yet.
+    pub repeat: Option<RepeatCause>,
+    /// Decision on a repeat after the last send, `None` if the retry budget was not asked.
+    pub decision: Option<RepeatDecision>,
 }
 
 impl SendHistory {
--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -2,10 +2,13 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use serde::{Deserialize, Serialize};
 use shallottack_kernel::{ServiceName, Time};
 
 /// Buckets that make up the sliding window; counts expire one whole bucket at a time.
 const BUCKETS: usize = 10;
+/// Number of values of [`RepeatCause`].
+const CAUSES: usize = 5;
 
 /// Settings of the retry budget that all daemons of the fleet share.
 #[derive(Debug, Clone, Copy)]
@@ -21,11 +24,83 @@
     pub usable_share: f64,
 }
 
+/// Why a request reaches backend servers of its service once more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RepeatCause {
+    /// The backend server stated that it did not run the request.
+    Shed,
+    /// The connection to the daemon beside the backend server ended.
+    Cut,
+    /// The backend server's response was lost, malformed or meant for another request.
+    Broken,
+    /// The backend server failed to serve the request.
+    Failed,
+    /// The request is a call that a repeated run of another request makes again.
+    Nested,
+}
+
+impl RepeatCause {
+    /// All causes.
+    pub const ALL: [RepeatCause; CAUSES] = [
+        RepeatCause::Shed,
+        RepeatCause::Cut,
+        RepeatCause::Broken,
+        RepeatCause::Failed,
+        RepeatCause::Nested,
+    ];
+
+    /// Returns the name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            RepeatCause::Shed => "shed",
+            RepeatCause::Cut => "cut",
+            RepeatCause::Broken => "broken",
+            RepeatCause::Failed => "failed",
+            RepeatCause::Nested => "nested",
+        }
+    }
+}
+
+/// This daemon's part of the retry budget of one service, and what it used of it in the window.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct BudgetUse {
+    /// Requests for the service.
+    pub requests: f64,
+    /// Repeats by cause, in the order of [`RepeatCause::ALL`].
+    pub repeats: [f64; CAUSES],
+    /// Repeats allowed.
+    pub allowed: f64,
+}
+
+impl BudgetUse {
+    /// Returns the number of calls that repeated runs make again.
+    pub fn nested(&self) -> f64 {
+        self.repeats[RepeatCause::Nested as usize]
+    }
+
+    /// Returns the number of repeats of all causes.
+    pub fn total(&self) -> f64 {
+        self.repeats.iter().sum()
+    }
+}
+
+/// Decision on whether a request may be sent once more.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RepeatDecision {
+    /// Why it would be sent once more.
+    pub cause: RepeatCause,
+    /// Whether it fits into the budget.
+    pub granted: bool,
+    /// State of the budget before the decision.
+    pub budget: BudgetUse,
+}
+
 #[derive(Debug, Default, Clone, Copy)]
 struct Bucket {
     index: u64,
     requests: f64,
-    retries: f64,
+    repeats: [f64; CAUSES],
 }
 
 /// Retry budget of each service, with the recent requests and retries seen by this daemon.
@@ -50,24 +125,44 @@
     ///
     /// A request that runs again makes its calls again, so they count as retries too.
     pub fn record_nested(&mut self, now: Time, service: &ServiceName, share: f64) {
-        self.bucket(now, service).retries += share;
+        self.bucket(now, service).repeats[RepeatCause::Nested as usize] += share;
     }
 
-    /// Takes a retry out of the budget, which `daemons` daemons share. Returns whether it fits.
-    pub fn try_retry(&mut self, now: Time, service: &ServiceName, daemons: usize) -> bool {
+    /// Takes a repeat out of the budget, which `daemons` daemons share, if it fits.
+    pub fn try_repeat(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        daemons: usize,
+        cause: RepeatCause,
+    ) -> RepeatDecision {
+        let budget = self.usage(now, service, daemons);
+        let granted = budget.total() + 1.0 <= budget.allowed;
+        if granted {
+            self.bucket(now, service).repeats[cause as usize] += 1.0;
+        }
+        RepeatDecision { cause, granted, budget }
+    }
+
+    /// Returns what this daemon used of its part of the budget, which `daemons` daemons share.
+    pub fn usage(&self, now: Time, service: &ServiceName, daemons: usize) -> BudgetUse {
         let index = self.index(now);
         let RetryBudgetSettings { ratio, extra, usable_share, .. } = self.settings;
-        let Some(buckets) = self.services.get(service) else { return false };
-        let recent = buckets.iter().filter(|it| it.index + BUCKETS as u64 > index);
-        let (requests, retries) = recent.fold((0.0, 0.0), |(requests, retries), it| {
-            (requests + it.requests, retries + it.retries)
-        });
-        let allowed = usable_share * (ratio * requests + extra / daemons.max(1) as f64);
-        let fits = retries + 1.0 <= allowed;
-        if fits {
-            self.bucket(now, service).retries += 1.0;
+        let mut usage = BudgetUse::default();
+        let Some(buckets) = self.services.get(service) else { return usage };
+        for bucket in buckets.iter().filter(|it| it.index + BUCKETS as u64 > index) {
+            usage.requests += bucket.requests;
+            for (sum, repeats) in usage.repeats.iter_mut().zip(bucket.repeats) {
+                *sum += repeats;
+            }
         }
-        fits
+        usage.allowed = usable_share * (ratio * usage.requests + extra / daemons.max(1) as f64);
+        usage
+    }
+
+    /// Returns the services with requests or repeats since the start.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.services.keys()
     }
 
     fn index(&self, now: Time) -> u64 {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -30,7 +30,7 @@
 
 pub use attempt::{Choice, Next, Outcome, PlacementRequest, SendHistory};
 pub use blocklist::{Blocklist, Crash, Finding, MAX_REPORTED_CRASHES, Standing, Verdict};
-pub use budget::{RetryBudget, RetryBudgetSettings};
+pub use budget::{BudgetUse, RepeatCause, RepeatDecision, RetryBudget, RetryBudgetSettings};
 pub use candidate::LoadReport;
 pub use configuration::{Configuration, Limits, Match, Route, Target};
 pub use directory::{Digest, Directory, Member, MergeResult};
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -12,8 +12,8 @@
 use shallottack_kernel::{DataCentre, EndpointId, ErrorKind, ServiceName, Time};
 
 use crate::{
-    Choice, Member, Next, Outcome, PlacementRequest, RetryBudget, SendHistory, Ticket,
-    VersionFilter,
+    BudgetUse, Choice, Member, Next, Outcome, PlacementRequest, RepeatCause, RetryBudget,
+    SendHistory, Ticket, VersionFilter,
     candidate::{Candidate, Gate, Reach, initial_load},
     leaving::Leaving,
     slots::{DEFAULT_RUN, MIN_RETRY},
@@ -283,6 +283,12 @@
         self.budget.record_nested(now, service, share);
     }
 
+    /// Returns what this daemon used of its part of the retry budget, for each service.
+    pub fn budget_use(&self, now: Time) -> Vec<(ServiceName, BudgetUse)> {
+        let services = self.budget.services();
+        services.map(|it| (it.clone(), self.budget.usage(now, it, self.daemons))).collect()
+    }
+
     /// Chooses where to send a request next, and records the send.
     pub fn choose(
         &mut self,
@@ -340,11 +346,12 @@
         outcome: Outcome,
     ) -> Next {
         self.record_outcome(now, request, vm, outcome);
+        history.decision = None;
         let (kind, wait) = match outcome {
             Outcome::Answered { status, .. } => {
                 history.arrivals += 1;
                 history.ran = true;
-                if status < 500 || !self.may_rerun(now, request, history) {
+                if status < 500 || !self.may_rerun(now, request, history, RepeatCause::Failed) {
                     return Next::Deliver;
                 }
                 return Next::Retry;
@@ -367,7 +374,7 @@
             }
             Outcome::Shed => {
                 history.arrivals += 1;
-                if self.may_resend(now, request, history) {
+                if self.may_resend(now, request, history, RepeatCause::Shed) {
                     return Next::Retry;
                 }
                 (ErrorKind::Overloaded, self.settings.min_retry)
@@ -375,7 +382,11 @@
             Outcome::Cut | Outcome::Broken => {
                 history.arrivals += 1;
                 history.ran = true;
-                if self.may_rerun(now, request, history) {
+                let cause = match outcome {
+                    Outcome::Cut => RepeatCause::Cut,
+                    _ => RepeatCause::Broken,
+                };
+                if self.may_rerun(now, request, history, cause) {
                     return Next::Retry;
                 }
                 (ErrorKind::AnswerBroken, Duration::ZERO)
@@ -389,18 +400,38 @@
     }
 
     /// Returns whether a request that may have run may be sent to another backend server.
-    fn may_rerun(&mut self, now: Time, request: &PlacementRequest, history: &SendHistory) -> bool {
-        request.idempotent && self.may_resend(now, request, history)
+    fn may_rerun(
+        &mut self,
+        now: Time,
+        request: &PlacementRequest,
+        history: &mut SendHistory,
+        cause: RepeatCause,
+    ) -> bool {
+        request.idempotent && self.may_resend(now, request, history, cause)
     }
 
     /// Returns whether a request that reached a backend server may be sent to another one.
-    fn may_resend(&mut self, now: Time, request: &PlacementRequest, history: &SendHistory) -> bool {
+    fn may_resend(
+        &mut self,
+        now: Time,
+        request: &PlacementRequest,
+        history: &mut SendHistory,
+        cause: RepeatCause,
+    ) -> bool {
         let run = Duration::from_secs_f64(self.run_time(&request.route));
-        history.arrivals < request.attempts
+        let possible = history.arrivals < request.attempts
             && history.sent < self.settings.max_sends
             && now + run / 2 < request.deadline
-            && self.has_untried(now, request, history)
-            && self.budget.try_retry(now, &request.service, self.daemons)
+            && self.has_untried(now, request, history);
+        if !possible {
+            return false;
+        }
+        let decision = self.budget.try_repeat(now, &request.service, self.daemons, cause);
+        history.decision = Some(decision);
+        if decision.granted {
+            history.repeat = Some(cause);
+        }
+        decision.granted
     }
 
     /// Returns the VM with the shortest expected completion time, among those with an expected wait
--- a/crates/fleet/tests/suite/budget.rs
+++ b/crates/fleet/tests/suite/budget.rs
@@ -1,6 +1,6 @@
 //! Retry budget shared by daemons while backend servers fail.
 
-use shallottack_fleet::{RetryBudget, RetryBudgetSettings};
+use shallottack_fleet::{RepeatCause, RetryBudget, RetryBudgetSettings};
 
 use crate::fixture::{at, ms, service};
 
@@ -25,7 +25,7 @@
         let mut retries = 0;
         for daemon in &mut daemons {
             daemon.record_request(now, &stock);
-            retries += u32::from(daemon.try_retry(now, &stock, 10));
+            retries += u32::from(daemon.try_repeat(now, &stock, 10, RepeatCause::Shed).granted);
         }
         sent.push((step * 20, retries));
     }
@@ -47,7 +47,7 @@
         budget.record_request(at(step), &stock);
         budget.record_nested(at(step), &stock, 0.5);
     }
-    assert!(!budget.try_retry(at(200), &stock, 10));
+    assert!(!budget.try_repeat(at(200), &stock, 10, RepeatCause::Shed).granted);
 }
 
 /// Guards against a budget that does not recover after its window.
@@ -56,7 +56,7 @@
     let stock = service("stock");
     let mut budget = budget();
     budget.record_request(at(0), &stock);
-    while budget.try_retry(at(0), &stock, 10) {}
-    assert!(!budget.try_retry(at(5_000), &stock, 10));
-    assert!(budget.try_retry(at(10_500), &stock, 10));
+    while budget.try_repeat(at(0), &stock, 10, RepeatCause::Shed).granted {}
+    assert!(!budget.try_repeat(at(5_000), &stock, 10, RepeatCause::Shed).granted);
+    assert!(budget.try_repeat(at(10_500), &stock, 10, RepeatCause::Shed).granted);
 }
--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request};
 use shallottack_fleet::{
-    Choice, Configuration, Match, Next, Outcome, PlacementRequest, RateLimit, RequestKey, Route,
-    SendHistory, Server, TaskId, VersionFilter,
+    Choice, Configuration, Match, Next, Outcome, PlacementRequest, RateLimit, RepeatCause,
+    RequestKey, Route, SendHistory, Server, TaskId, VersionFilter,
 };
 use shallottack_http::{
     Application, ConnectionLimits, ERROR_HEADER, ParseError, RUN_HEADER, SizeLimits,
@@ -299,8 +299,7 @@
         };
         let (vm, server) = (target.vm.clone(), target.server.clone());
         guard.sent_to = Some(vm.clone());
-        let retry = history.arrivals > 0;
-        let (outcome, response, reason) = send_to(node, call, target, retry).await;
+        let (outcome, response, reason) = send_to(node, call, target, history.repeat).await;
         guard.sent_to = None;
         let ended = node.now();
         if !matches!(outcome, Outcome::Answered { .. }) {
@@ -328,6 +327,7 @@
             outcome,
         );
         drop(shared);
+        log_repeat(node, call, history);
         match (next, response) {
             (Next::Deliver, Some(response)) => return Ok(response),
             (Next::Retry, response) => {
@@ -348,6 +348,27 @@
     }
 }
 
+/// Logs the decision on whether a request is sent once more, if there was one.
+fn log_repeat(node: &Node, call: &Call, history: &SendHistory) {
+    let Some(decision) = &history.decision else { return };
+    let labels = [
+        ("cause", decision.cause.as_str()),
+        ("outcome", if decision.granted { "granted" } else { "denied" }),
+    ];
+    metrics::counter!("shallottack_repeats_total", &labels).increment(1);
+    node.events.write(&Event::Repeat {
+        id: &call.id,
+        service: call.service.as_str(),
+        cause: decision.cause,
+        granted: decision.granted,
+        arrivals: history.arrivals,
+        requests: decision.budget.requests,
+        repeats: decision.budget.total(),
+        nested: decision.budget.nested(),
+        allowed: decision.budget.allowed,
+    });
+}
+
 /// Returns the rejection of a request at which backend servers crashed.
 fn blocked(call: &Call, history: &SendHistory, retry_after: Duration) -> Rejection {
     let kind = history.final_kind(ErrorKind::Blocked);
@@ -380,7 +401,7 @@
     node: &Arc<Node>,
     call: &Call,
     target: Target,
-    retry: bool,
+    repeat: Option<RepeatCause>,
 ) -> (Outcome, Option<CompleteResponse>, String) {
     let now = node.now();
     let left = call.placement.deadline.since(now);
@@ -392,7 +413,7 @@
         route: Arc::clone(&call.route.name),
         priority: call.route.priority,
         ticket: call.placement.ticket,
-        retry,
+        repeat,
         idempotent: call.route.idempotent,
         returned: call.placement.returned,
         goal: call.placement.goal.since(now),
--- a/crates/sidecar/src/events.rs
+++ b/crates/sidecar/src/events.rs
@@ -11,7 +11,7 @@
 };
 
 use serde::Serialize;
-use shallottack_fleet::{CrashSign, Finding, RequestKey, RolloutState, ServerState};
+use shallottack_fleet::{CrashSign, Finding, RepeatCause, RequestKey, RolloutState, ServerState};
 use shallottack_kernel::{EndpointId, unix_ms};
 
 /// Capacity of the queue to the writer thread, a few seconds of lines at full load.
@@ -143,6 +143,17 @@
         reason: &'a str,
         ms: u64,
     },
+    Repeat {
+        id: &'a str,
+        service: &'a str,
+        cause: RepeatCause,
+        granted: bool,
+        arrivals: u8,
+        requests: f64,
+        repeats: f64,
+        nested: f64,
+        allowed: f64,
+    },
     Answered {
         id: &'a str,
         route: &'a str,
@@ -189,6 +200,7 @@
     Ran {
         id: &'a str,
         key: RequestKey,
+        repeat: Option<RepeatCause>,
         outcome: &'a str,
         status: u16,
         run_ms: u64,
@@ -225,7 +237,9 @@
                 Importance::Ordinary
             }
             Event::Answered { status, .. } if *status < 400 => Importance::Ordinary,
-            Event::Ran { status, .. } if (1..400).contains(status) => Importance::Ordinary,
+            Event::Ran { status, repeat: None, .. } if (1..400).contains(status) => {
+                Importance::Ordinary
+            }
             _ => Importance::Important,
         }
     }
--- a/crates/sidecar/src/message.rs
+++ b/crates/sidecar/src/message.rs
@@ -4,7 +4,8 @@
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use shallottack_fleet::{
-    Digest, Evidence, Load, LoadReport, Member, RateLimit, RequestKey, RowVersion, Ticket,
+    Digest, Evidence, Load, LoadReport, Member, RateLimit, RepeatCause, RequestKey, RowVersion,
+    Ticket,
 };
 use shallottack_kernel::{EndpointId, ErrorKind, ServiceName};
 
@@ -27,8 +28,8 @@
     pub priority: u8,
     /// Rank among the requests of the route.
     pub ticket: Ticket,
-    /// Whether the request may have reached another backend server before.
-    pub retry: bool,
+    /// Why the request is sent once more, `None` if it reached no backend server before.
+    pub repeat: Option<RepeatCause>,
     /// Whether the request may run more than once.
     pub idempotent: bool,
     /// Whether the caller was rejected before and waited as told by `Retry-After`.
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -6,7 +6,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
-use shallottack_fleet::{Admission, Arrival, RequestKey, RunEnd, Standing, TaskId};
+use shallottack_fleet::{Admission, Arrival, RepeatCause, RequestKey, RunEnd, Standing, TaskId};
 use shallottack_kernel::{ErrorKind, Time};
 use shallottack_rpc::{FleetHandler, Frame, PROTOCOL};
 
@@ -83,20 +83,44 @@
 struct RunGuard<'a> {
     node: &'a Node,
     task: TaskId,
-    end: RunEnd,
+    id: String,
+    key: RequestKey,
+    repeat: Option<RepeatCause>,
+    started: Time,
+    /// How the run ended; `None` until the exchange with the backend server has ended.
+    end: Option<RunEnd>,
 }
 
 impl<'a> RunGuard<'a> {
-    fn start(node: &'a Node, task: TaskId, key: RequestKey) -> RunGuard<'a> {
-        node.shared().runs.start(task, key);
-        RunGuard { node, task, end: RunEnd::Unanswered }
+    fn start(node: &'a Node, task: TaskId, request: &RunRequest) -> RunGuard<'a> {
+        node.shared().runs.start(task, request.key);
+        RunGuard {
+            node,
+            task,
+            id: request.id.clone(),
+            key: request.key,
+            repeat: request.repeat,
+            started: node.now(),
+            end: None,
+        }
     }
 }
 
 impl Drop for RunGuard<'_> {
     fn drop(&mut self) {
         let now = self.node.now();
-        self.node.shared().runs.finish(now, self.task, self.end);
+        self.node.shared().runs.finish(now, self.task, self.end.unwrap_or(RunEnd::Unanswered));
+        if self.end.is_none() {
+            self.node.events.write(&Event::Ran {
+                id: &self.id,
+                key: self.key,
+                repeat: self.repeat,
+                outcome: "cancelled",
+                status: 0,
+                run_ms: now.since(self.started).as_millis() as u64,
+                reason: "the caller's daemon ended the call",
+            });
+        }
     }
 }
 
@@ -142,19 +166,20 @@
         queued: load.queued,
         limit: load.limit,
     });
-    let (id, key) = (request.id.clone(), request.key);
+    let (id, key, repeat) = (request.id.clone(), request.key, request.repeat);
     let left = request.left.saturating_sub(waited);
-    let mut guard = RunGuard::start(node, slot.task, key);
+    let mut guard = RunGuard::start(node, slot.task, &request);
     let exchange = match build_request(request, body, left) {
         Ok(request) => node.backend.send(request).await,
         Err(error) => ExchangeOutcome::Unsent(error),
     };
-    guard.end = match &exchange {
+    let end = match &exchange {
         ExchangeOutcome::Answered(_) => RunEnd::Completed,
         ExchangeOutcome::NotRun(..) | ExchangeOutcome::Unsent(_) => RunEnd::NotRun,
         ExchangeOutcome::Broken(_) | ExchangeOutcome::TimedOut => RunEnd::Unanswered,
     };
-    let completed = guard.end == RunEnd::Completed;
+    guard.end = Some(end);
+    let completed = end == RunEnd::Completed;
     drop(guard);
     if completed {
         node.record_completion(key);
@@ -177,7 +202,7 @@
         node.record_notice(&id, notice);
     }
     let run_ms = run.as_millis() as u64;
-    node.events.write(&Event::Ran { id: &id, key, outcome, status, run_ms, reason });
+    node.events.write(&Event::Ran { id: &id, key, repeat, outcome, status, run_ms, reason });
     match exchange {
         ExchangeOutcome::Answered(response) => {
             slot.completed = true;
@@ -254,7 +279,7 @@
         route: Arc::clone(&request.route),
         priority: request.priority,
         ticket: request.ticket,
-        retry: request.retry,
+        retry: request.repeat.is_some(),
         returned: request.returned,
         goal: now + request.goal,
         deadline: now + request.left,
--- a/crates/sidecar/src/telemetry.rs
+++ b/crates/sidecar/src/telemetry.rs
@@ -6,6 +6,8 @@
 use http::{Request, Response};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
+use shallottack_fleet::RepeatCause;
+
 use crate::node::Node;
 
 /// Upper bounds of the latency buckets in seconds; latency goals lie between 0.06 and 1.5.
@@ -17,6 +19,21 @@
     builder.install_recorder().ok()
 }
 
+/// Sets the gauges of the retry budgets.
+fn record_budgets(node: &Node) {
+    let budgets = node.shared().placement.budget_use(node.now());
+    for (service, budget) in budgets {
+        let service = service.as_str().to_owned();
+        let labels = [("service", service.clone())];
+        metrics::gauge!("shallottack_budget_requests", &labels).set(budget.requests);
+        metrics::gauge!("shallottack_budget_allowed", &labels).set(budget.allowed);
+        for (cause, repeats) in RepeatCause::ALL.iter().zip(budget.repeats) {
+            let labels = [("service", service.clone()), ("cause", cause.as_str().to_owned())];
+            metrics::gauge!("shallottack_budget_repeats", &labels).set(repeats);
+        }
+    }
+}
+
 /// Handles a scrape: responds with all metrics.
 pub async fn handle(
     node: Arc<Node>,
@@ -27,6 +44,7 @@
     metrics::gauge!("shallottack_backend_running").set(load.running);
     metrics::gauge!("shallottack_backend_queued").set(load.queued);
     metrics::gauge!("shallottack_backend_limit").set(load.limit);
+    record_budgets(&node);
     metrics::gauge!("shallottack_members").set(node.shared().directory.len() as f64);
     let text = recorder.map_or_else(String::new, |it| it.render());
     Response::new(Bytes::from(text))
--- a/crates/sidecar/tests/suite/events.rs
+++ b/crates/sidecar/tests/suite/events.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use shallottack_fleet::{CrashSign, Finding, RequestKey, RolloutState, ServerState};
+use shallottack_fleet::{CrashSign, Finding, RepeatCause, RequestKey, RolloutState, ServerState};
 use shallottack_kernel::EndpointId;
 use shallottack_sidecar::{Event, EventLog};
 
@@ -107,6 +107,7 @@
         Event::Ran {
             id,
             key: RequestKey(0x9c4),
+            repeat: Some(RepeatCause::Shed),
             outcome: "answered",
             status: 200,
             run_ms: 88,
@@ -124,6 +125,17 @@
             finding: Finding::Blocked,
             at_ms: 1_774_139_556_085,
         },
+        Event::Repeat {
+            id,
+            service: "desk",
+            cause: RepeatCause::Shed,
+            granted: true,
+            arrivals: 1,
+            requests: 120.0,
+            repeats: 18.5,
+            nested: 7.5,
+            allowed: 24.0,
+        },
         Event::Answered {
             id,
             route: "r",
