Replay a fleet whose repeated runs call a service that rejects

The replay has 24 daemons, 14 of them beside servers whose runs call the service of the other ten. These reject 55 in 100 arrivals for 8 s. Requests, calls, runs and repeats are decided by the budgets and slots of the daemons, and counted as the users count them: a call of a repeated run is a repeat, not a request. Variants have uneven load, restarts, and daemons that join.

--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -11,6 +11,7 @@
 mod neighbours;
 mod placement;
 mod rate;
+mod retry_storm;
 mod returns;
 mod rollout;
 mod rollout_load;
