Hold the calls of repeated runs within the retry budget

Cause: a run that is a repeat makes its calls again. The daemon beside it counted these when they came, by the share of repeats among all runs, and could then no longer prevent them. The calls also counted as requests and raised what is allowed.

Now the daemon beside a backend server learns how many calls to which service a run of each route makes, takes these out of its parts of the budgets of the called services before a repeat runs, and refuses the repeat if they don't fit. Its caller's daemon looks for another one. What is taken out beforehand can't exceed the budget, and counts as no request.

`nested_calls_of_retried_requests_use_up_the_budget` charges calls by the new function, with the same numbers.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -5,6 +5,8 @@
 use serde::{Deserialize, Serialize};
 use shallottack_kernel::{ServiceName, Time};
 
+use crate::Calls;
+
 /// Buckets that make up the sliding window; counts expire one whole bucket at a time.
 const BUCKETS: usize = 10;
 /// Number of values of [`RepeatCause`].
@@ -19,8 +21,8 @@
     pub extra: f64,
     /// Length of the window.
     pub window: Duration,
-    /// Share of the budget to use, from 0 to 1. The rest covers retries that backend servers cause
-    /// with their own calls, and daemons with a wrong count of the fleet.
+    /// Share of the budget to use, from 0 to 1. The rest covers runs that make more calls than
+    /// expected, and repeats that arrive later than they are counted.
     pub usable_share: f64,
 }
 
@@ -116,16 +118,29 @@
         RetryBudget { settings, services: HashMap::new() }
     }
 
-    /// Counts a request of a caller.
+    /// Counts a request of a caller, or a call of a run.
     pub fn record_request(&mut self, now: Time, service: &ServiceName) {
         self.bucket(now, service).requests += 1.0;
     }
 
-    /// Counts a call made by a running request as a retry with probability `share`.
+    /// Returns whether the calls that a repeated run makes again fit into the budgets of the called
+    /// services, which `daemons` daemons share.
+    pub fn calls_fit(&self, now: Time, calls: &Calls, daemons: usize) -> bool {
+        calls.iter().all(|(service, calls)| {
+            let budget = self.usage(now, service, daemons);
+            budget.total() + calls <= budget.allowed
+        })
+    }
+
+    /// Takes the calls that a repeated run makes again out of the budgets of the called services.
     ///
-    /// A request that runs again makes its calls again, so they count as retries too.
-    pub fn record_nested(&mut self, now: Time, service: &ServiceName, share: f64) {
-        self.bucket(now, service).repeats[RepeatCause::Nested as usize] += share;
+    /// They are repeats and no requests, so that they do not add to what is allowed when they come.
+    pub fn charge_calls(&mut self, now: Time, calls: &Calls) {
+        for (service, calls) in calls {
+            let bucket = self.bucket(now, service);
+            bucket.repeats[RepeatCause::Nested as usize] += calls;
+            bucket.requests -= calls;
+        }
     }
 
     /// Takes a repeat out of the budget, which `daemons` daemons share, if it fits.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 mod configuration;
 mod directory;
 mod eligible;
+mod fan_out;
 mod fetch;
 mod leaving;
 mod link;
@@ -34,6 +35,7 @@
 pub use candidate::LoadReport;
 pub use configuration::{Configuration, Limits, Match, Route, Target};
 pub use directory::{Digest, Directory, Member, MergeResult};
+pub use fan_out::{Calls, FanOut};
 pub use fetch::{FetchDecision, FetchSettings, FetchTracker};
 pub use link::{LARGE_BYTES, Link};
 pub use neighbours::{NeighbourSettings, Neighbours, is_store_reader};
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -12,7 +12,7 @@
 use shallottack_kernel::{DataCentre, EndpointId, ErrorKind, ServiceName, Time};
 
 use crate::{
-    BudgetUse, Choice, Member, Next, Outcome, PlacementRequest, RepeatCause, RetryBudget,
+    BudgetUse, Calls, Choice, Member, Next, Outcome, PlacementRequest, RepeatCause, RetryBudget,
     SendHistory, Ticket, VersionFilter,
     candidate::{Candidate, Gate, Reach, initial_load},
     leaving::Leaving,
@@ -271,16 +271,24 @@
         due
     }
 
-    /// Counts a request of a caller in the retry budget of its service.
+    /// Counts a request of a caller, or a call of a run, in the retry budget of its service.
     pub fn count_request(&mut self, now: Time, service: &ServiceName) {
         self.budget.record_request(now, service);
     }
 
-    /// Counts a call made by a running request in the retry budget of its service.
-    ///
-    /// `share` is the probability that the running request is a retry.
-    pub fn count_nested(&mut self, now: Time, service: &ServiceName, share: f64) {
-        self.budget.record_nested(now, service, share);
+    /// Returns whether the calls that a repeated run makes again fit into the retry budgets.
+    pub fn calls_fit(&self, now: Time, calls: &Calls) -> bool {
+        self.budget.calls_fit(now, calls, self.daemons)
+    }
+
+    /// Takes the calls that a repeated run makes again out of the retry budgets.
+    pub fn charge_calls(&mut self, now: Time, calls: &Calls) {
+        self.budget.charge_calls(now, calls);
+    }
+
+    /// Returns what this daemon used of its part of the retry budget of a service.
+    pub fn service_budget(&self, now: Time, service: &ServiceName) -> BudgetUse {
+        self.budget.usage(now, service, self.daemons)
     }
 
     /// Returns what this daemon used of its part of the retry budget, for each service.
--- a/crates/fleet/src/slots.rs
+++ b/crates/fleet/src/slots.rs
@@ -107,8 +107,6 @@
     pub priority: u8,
     /// Rank among the requests of the route.
     pub ticket: Ticket,
-    /// Whether the request was sent to another backend server before.
-    pub retry: bool,
     /// Whether the caller was rejected earlier and retried after the stated wait.
     pub returned: bool,
     /// Time by which the response meets the latency goal.
@@ -192,7 +190,6 @@
     route: Arc<str>,
     started: Time,
     run_time: Duration,
-    retry: bool,
 }
 
 /// Slots of one backend server.
@@ -381,12 +378,6 @@
         tasks.into_iter().map(|(_, task)| Wake::Reject(task, min_retry)).collect()
     }
 
-    /// Returns the share of retries among the running requests.
-    pub fn retry_share(&self) -> f64 {
-        let retries = self.running.values().filter(|it| it.retry).count();
-        retries as f64 / self.running.len().max(1) as f64
-    }
-
     /// Returns whether a late request has exceeded its maximum time in the queue.
     fn exceeds_max_held(&self, now: Time, waiting: &Waiting) -> bool {
         let time = waiting.arrival.deadline.since(waiting.arrived);
@@ -536,8 +527,7 @@
         let priority = Slots::priority(arrival);
         let level = self.level(arrival.ticket);
         self.usage.record(now, &arrival.route, priority, level, run_time);
-        let (route, retry) = (Arc::clone(&arrival.route), arrival.retry);
-        let run = Running { route, started: now, run_time, retry };
+        let run = Running { route: Arc::clone(&arrival.route), started: now, run_time };
         self.running.insert(arrival.task, run);
     }
 
--- a/crates/fleet/tests/suite/budget.rs
+++ b/crates/fleet/tests/suite/budget.rs
@@ -1,6 +1,7 @@
 //! Retry budget shared by daemons while backend servers fail.
 
 use shallottack_fleet::{RepeatCause, RetryBudget, RetryBudgetSettings};
+use smallvec::smallvec;
 
 use crate::fixture::{at, ms, service};
 
@@ -45,7 +46,7 @@
     let mut budget = budget();
     for step in 0..200 {
         budget.record_request(at(step), &stock);
-        budget.record_nested(at(step), &stock, 0.5);
+        budget.charge_calls(at(step), &smallvec![(stock.clone(), 0.5)]);
     }
     assert!(!budget.try_repeat(at(200), &stock, 10, RepeatCause::Shed).granted);
 }
--- a/crates/fleet/tests/suite/fixture.rs
+++ b/crates/fleet/tests/suite/fixture.rs
@@ -88,7 +88,6 @@
         route: Arc::from(format!("route-{priority}")),
         priority,
         ticket: Ticket(128),
-        retry: false,
         returned: false,
         goal: now + ms(goal),
         deadline: now + ms(deadline),
--- a/crates/fleet/tests/suite/retry_storm.rs
+++ b/crates/fleet/tests/suite/retry_storm.rs
@@ -3,16 +3,17 @@
 //! Runs of one service call another one. While the called service rejects half of what it gets,
 //! runs fail, are repeated, and make their calls again.
 
-use std::collections::{BTreeMap, BinaryHeap};
+use std::{
+    collections::{BTreeMap, BinaryHeap},
+    sync::Arc,
+};
 
 use rand::{Rng, RngExt};
 use rand_chacha::ChaCha8Rng;
-use shallottack_fleet::{
-    Admission, RepeatCause, RetryBudget, RetryBudgetSettings, Slots, SlotsSettings, TaskId,
-};
+use shallottack_fleet::{FanOut, RepeatCause, RetryBudget, RetryBudgetSettings, TaskId};
 use shallottack_kernel::ServiceName;
 
-use crate::fixture::{arrival, at, ms, rng, service};
+use crate::fixture::{at, ms, rng, service};
 
 const DESKS: usize = 14;
 const DAEMONS: usize = 24;
@@ -52,7 +53,7 @@
 
 struct Daemon {
     budget: RetryBudget,
-    slots: Slots,
+    fan_out: FanOut,
 }
 
 impl Daemon {
@@ -63,30 +64,34 @@
             window: ms(WINDOW),
             usable_share: 0.85,
         };
-        let mut slots = Slots::new(SlotsSettings::default());
-        slots.set_limit(at(0), 10_000);
-        Daemon { budget: RetryBudget::new(settings), slots }
+        Daemon { budget: RetryBudget::new(settings), fan_out: FanOut::default() }
     }
 
     fn record_request(&mut self, now: u64, service: &ServiceName) {
         self.budget.record_request(at(now), service);
-        let share = self.slots.retry_share();
-        self.budget.record_nested(at(now), service, share);
+        self.fan_out.record_request(at(now), service);
     }
 
     fn try_repeat(&mut self, now: u64, service: &ServiceName, cause: RepeatCause) -> bool {
         self.budget.try_repeat(at(now), service, DAEMONS, cause).granted
     }
 
-    /// Returns whether a run may start.
+    /// Starts a run, and returns whether it may start.
     fn start(&mut self, now: u64, task: u64, route: Route, repeat: bool) -> bool {
-        let mut arrival = arrival(task, route as u8, at(now), 1_000, 2_000);
-        arrival.retry = repeat;
-        self.slots.arrive(at(now), arrival) == Admission::Run
+        let route = Arc::from(format!("{route:?}"));
+        if repeat {
+            let calls = self.fan_out.calls(&route);
+            if !self.budget.calls_fit(at(now), &calls, DAEMONS) {
+                return false;
+            }
+            self.budget.charge_calls(at(now), &calls);
+        }
+        self.fan_out.start(at(now), TaskId(task), &route);
+        true
     }
 
     fn finish(&mut self, now: u64, task: u64) {
-        self.slots.finish(at(now), TaskId(task), true);
+        self.fan_out.finish(at(now), TaskId(task));
     }
 }
 
@@ -212,21 +217,27 @@
         self.send(now, id, None, rng);
     }
 
+    /// Returns a daemon that starts the run of a job, or `None` if three of them refuse it.
+    fn place(&mut self, now: u64, id: u64, repeat: bool, rng: &mut ChaCha8Rng) -> Option<usize> {
+        let route = self.jobs[&id].route;
+        let servers = match route {
+            Route::Check => DESKS..DAEMONS,
+            _ if self.uneven == Uneven::Load && repeat => 0..DESKS / 4,
+            _ => 0..DESKS,
+        };
+        (0..3)
+            .map(|_| rng.random_range(servers.clone()))
+            .find(|it| self.daemons[*it].start(now, id, route, repeat))
+    }
+
     /// Sends a job to backend servers until one of them runs it.
     fn send(&mut self, now: u64, id: u64, mut cause: Option<RepeatCause>, rng: &mut ChaCha8Rng) {
         loop {
             let job = self.jobs[&id].clone();
-            let server = match job.route {
-                Route::Check => rng.random_range(DESKS..DAEMONS),
-                _ if self.uneven == Uneven::Load && cause.is_some() => {
-                    rng.random_range(0..DESKS / 4)
-                }
-                _ => rng.random_range(0..DESKS),
-            };
-            if !self.daemons[server].start(now, id, job.route, cause.is_some()) {
+            let Some(server) = self.place(now, id, cause.is_some(), rng) else {
                 self.conclude(id, false);
                 return;
-            }
+            };
             let nested = self.is_nested(&job).then_some(RepeatCause::Nested);
             if let Some(cause) = cause.or(nested) {
                 self.count(now, job.route, Some(cause));
--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -222,11 +222,7 @@
     {
         let mut shared = node.shared();
         shared.placement.count_request(began, &service);
-        // Nested calls of running requests can't be distinguished from other calls, since callers
-        // and the backend server share the VM's address. Counting every call as nested keeps the
-        // fleet within its retry budget.
-        let share = shared.slots.retry_share();
-        shared.placement.count_nested(began, &service, share);
+        shared.fan_out.record_request(began, &service);
     }
     Ok(Call {
         id,
--- a/crates/sidecar/src/events.rs
+++ b/crates/sidecar/src/events.rs
@@ -154,6 +154,16 @@
         nested: f64,
         allowed: f64,
     },
+    RepeatedCalls {
+        id: &'a str,
+        service: &'a str,
+        calls: f64,
+        granted: bool,
+        requests: f64,
+        repeats: f64,
+        nested: f64,
+        allowed: f64,
+    },
     Answered {
         id: &'a str,
         route: &'a str,
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -16,10 +16,10 @@
 };
 use rand::RngExt;
 use shallottack_fleet::{
-    Arrival, Blocklist, Configuration, Directory, FetchTracker, Link, Load, LocalServer, Member,
-    MergeResult, NeighbourSettings, Neighbours, Placement, RateLimit, RejectedCallers, RetryBudget,
-    RetryBudgetSettings, Rollout, RowVersion, Runs, ServerUpdate, Slots, TaskId, Ticket, Tickets,
-    Wake, is_store_reader,
+    Arrival, Blocklist, Configuration, Directory, FanOut, FetchTracker, Link, Load, LocalServer,
+    Member, MergeResult, NeighbourSettings, Neighbours, Placement, RateLimit, RejectedCallers,
+    RetryBudget, RetryBudgetSettings, Rollout, RowVersion, Runs, ServerUpdate, Slots, TaskId,
+    Ticket, Tickets, Wake, is_store_reader,
 };
 use shallottack_kernel::{Clock, EndpointId, ServiceName, SystemClock, Time, unix_ms};
 use shallottack_rpc::FleetPeers;
@@ -92,6 +92,8 @@
     pub era: Option<u64>,
     /// Runs at the backend server on this VM.
     pub runs: Runs,
+    /// Calls that these runs make.
+    pub fan_out: FanOut,
     /// Requests that crash backend servers of the fleet.
     pub blocklist: Blocklist,
     /// What the backend server last stated about itself.
@@ -174,6 +176,7 @@
             stop_end: None,
             era: None,
             runs: Runs::default(),
+            fan_out: FanOut::default(),
             blocklist: Blocklist::default(),
             notice: Notice::default(),
             backend_down_until: None,
@@ -488,6 +491,7 @@
     /// Forgets what the backend server's responses showed, since another one runs on the VM.
     pub fn reset_server(&mut self) {
         self.slots.reset_server();
+        self.fan_out.reset();
         self.notice = Notice::default();
     }
 
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -6,7 +6,9 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
-use shallottack_fleet::{Admission, Arrival, RepeatCause, RequestKey, RunEnd, Standing, TaskId};
+use shallottack_fleet::{
+    Admission, Arrival, Calls, RepeatCause, RequestKey, RunEnd, Standing, TaskId,
+};
 use shallottack_kernel::{ErrorKind, Time};
 use shallottack_rpc::{FleetHandler, Frame, PROTOCOL};
 
@@ -93,14 +95,21 @@
 
 impl<'a> RunGuard<'a> {
     fn start(node: &'a Node, task: TaskId, request: &RunRequest) -> RunGuard<'a> {
-        node.shared().runs.start(task, request.key);
+        let now = node.now();
+        let mut shared = node.shared();
+        shared.runs.start(task, request.key);
+        shared.fan_out.start(now, task, &request.route);
+        drop(shared);
+        if request.repeat.is_some() {
+            charge_calls(node, now, request);
+        }
         RunGuard {
             node,
             task,
             id: request.id.clone(),
             key: request.key,
             repeat: request.repeat,
-            started: node.now(),
+            started: now,
             end: None,
         }
     }
@@ -109,7 +118,10 @@
 impl Drop for RunGuard<'_> {
     fn drop(&mut self) {
         let now = self.node.now();
-        self.node.shared().runs.finish(now, self.task, self.end.unwrap_or(RunEnd::Unanswered));
+        let mut shared = self.node.shared();
+        shared.runs.finish(now, self.task, self.end.unwrap_or(RunEnd::Unanswered));
+        shared.fan_out.finish(now, self.task);
+        drop(shared);
         if self.end.is_none() {
             self.node.events.write(&Event::Ran {
                 id: &self.id,
@@ -232,7 +244,7 @@
 ) -> Result<SlotGuard<'a>, (ErrorKind, Duration)> {
     let now = node.now();
     let task = node.next_task();
-    check_standing(node, request)?;
+    check_start(node, request)?;
     let waiter = {
         let mut shared = node.shared();
         if shared.own.stopping {
@@ -254,7 +266,7 @@
     let slot = SlotGuard { node, task, completed: false };
     let Some(decision) = waiter else { return Ok(slot) };
     match decision.recv().await {
-        Ok(SlotDecision::Run) => check_standing(node, request).map(|()| slot),
+        Ok(SlotDecision::Run) => check_start(node, request).map(|()| slot),
         Ok(SlotDecision::Reject(retry_after)) => Err((ErrorKind::DeadlineUnmet, retry_after)),
         // The waiter was dropped without a decision, which does not happen: closing the slots
         // answers every waiter first.
@@ -262,6 +274,60 @@
     }
 }
 
+/// Returns why a request is refused, and when to retry, whatever slots are free.
+fn check_start(node: &Node, request: &RunRequest) -> Result<(), (ErrorKind, Duration)> {
+    check_standing(node, request)?;
+    check_calls(node, request)
+}
+
+/// Returns why a repeat is refused, and when to retry, if the calls that it makes again exceed the
+/// retry budgets of the called services.
+fn check_calls(node: &Node, request: &RunRequest) -> Result<(), (ErrorKind, Duration)> {
+    if request.repeat.is_none() {
+        return Ok(());
+    }
+    let now = node.now();
+    let (calls, fits) = {
+        let shared = node.shared();
+        let calls = shared.fan_out.calls(&request.route);
+        let fits = shared.placement.calls_fit(now, &calls);
+        (calls, fits)
+    };
+    if fits {
+        return Ok(());
+    }
+    log_calls(node, now, request, &calls, false);
+    Err((ErrorKind::Overloaded, REFUSED_RETRY_AFTER))
+}
+
+/// Takes the calls that a repeat makes again out of the retry budgets of the called services.
+fn charge_calls(node: &Node, now: Time, request: &RunRequest) {
+    let calls = {
+        let mut shared = node.shared();
+        let calls = shared.fan_out.calls(&request.route);
+        shared.placement.charge_calls(now, &calls);
+        calls
+    };
+    log_calls(node, now, request, &calls, true);
+}
+
+/// Logs the decision on whether a repeat may make its calls again.
+fn log_calls(node: &Node, now: Time, request: &RunRequest, calls: &Calls, granted: bool) {
+    for (service, calls) in calls {
+        let budget = node.shared().placement.service_budget(now, service);
+        node.events.write(&Event::RepeatedCalls {
+            id: &request.id,
+            service: service.as_str(),
+            calls: *calls,
+            granted,
+            requests: budget.requests,
+            repeats: budget.total(),
+            nested: budget.nested(),
+            allowed: budget.allowed,
+        });
+    }
+}
+
 /// Returns why a request is refused, and when to retry, if backend servers crashed while they ran it.
 fn check_standing(node: &Node, request: &RunRequest) -> Result<(), (ErrorKind, Duration)> {
     match node.standing(request.key) {
@@ -279,7 +345,6 @@
         route: Arc::clone(&request.route),
         priority: request.priority,
         ticket: request.ticket,
-        retry: request.repeat.is_some(),
         returned: request.returned,
         goal: now + request.goal,
         deadline: now + request.left,
--- a/crates/sidecar/tests/suite/events.rs
+++ b/crates/sidecar/tests/suite/events.rs
@@ -136,6 +136,16 @@
             nested: 7.5,
             allowed: 24.0,
         },
+        Event::RepeatedCalls {
+            id,
+            service: "stock",
+            calls: 1.5,
+            granted: false,
+            requests: 120.0,
+            repeats: 23.5,
+            nested: 12.5,
+            allowed: 24.0,
+        },
         Event::Answered {
             id,
             route: "r",
