Count repeats until the whole window has passed

Repeats late in one bucket and early in the tenth after it lay in one window of the users and were allowed twice.

The buckets are 250 ms long now. Repeats count until the whole window has passed; requests add to what is allowed only while they certainly lie in it. `repeats_return_before_the_window_has_passed` failed before with 52 repeats in 9,015 ms, of 26 that the requests of that time allow.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -8,7 +8,9 @@
 use crate::Calls;
 
 /// Buckets that make up the sliding window; counts expire one whole bucket at a time.
-const BUCKETS: usize = 10;
+const BUCKETS: usize = 40;
+/// Buckets that are kept: those of the window, and the one that its start lies in.
+const KEPT: usize = BUCKETS + 1;
 /// Number of values of [`RepeatCause`].
 const CAUSES: usize = 5;
 
@@ -109,7 +111,7 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     settings: RetryBudgetSettings,
-    services: HashMap<ServiceName, [Bucket; BUCKETS]>,
+    services: HashMap<ServiceName, Box<[Bucket; KEPT]>>,
 }
 
 impl RetryBudget {
@@ -165,12 +167,16 @@
         let RetryBudgetSettings { ratio, extra, usable_share, .. } = self.settings;
         let mut usage = BudgetUse::default();
         let Some(buckets) = self.services.get(service) else { return usage };
-        for bucket in buckets.iter().filter(|it| it.index + BUCKETS as u64 > index) {
-            usage.requests += bucket.requests;
+        for bucket in buckets.iter().filter(|it| it.index + KEPT as u64 > index) {
+            // Only requests that are certainly within the window raise what is allowed.
+            if bucket.index + BUCKETS as u64 > index {
+                usage.requests += bucket.requests;
+            }
             for (sum, repeats) in usage.repeats.iter_mut().zip(bucket.repeats) {
                 *sum += repeats;
             }
         }
+        usage.requests = usage.requests.max(0.0);
         usage.allowed = usable_share * (ratio * usage.requests + extra / daemons.max(1) as f64);
         usage
     }
@@ -182,16 +188,16 @@
 
     fn index(&self, now: Time) -> u64 {
         let length = (self.settings.window / BUCKETS as u32).as_micros().max(1) as u64;
-        now.0 / length + BUCKETS as u64
+        now.0 / length + KEPT as u64
     }
 
     fn bucket(&mut self, now: Time, service: &ServiceName) -> &mut Bucket {
         let index = self.index(now);
         if !self.services.contains_key(service) {
-            self.services.insert(service.clone(), Default::default());
+            self.services.insert(service.clone(), Box::new([Bucket::default(); KEPT]));
         }
         let buckets = self.services.get_mut(service).expect("inserted above");
-        let bucket = &mut buckets[index as usize % BUCKETS];
+        let bucket = &mut buckets[index as usize % KEPT];
         if bucket.index != index {
             *bucket = Bucket { index, ..Bucket::default() };
         }
--- a/crates/fleet/tests/suite/budget.rs
+++ b/crates/fleet/tests/suite/budget.rs
@@ -1,17 +1,21 @@
 //! Retry budget shared by daemons while backend servers fail.
 
+use std::time::Duration;
+
 use shallottack_fleet::{RepeatCause, RetryBudget, RetryBudgetSettings};
 use smallvec::smallvec;
 
-use crate::fixture::{at, ms, service};
+use crate::fixture::{at, service};
+
+const SETTINGS: RetryBudgetSettings = RetryBudgetSettings {
+    ratio: 0.2,
+    extra: 60.0,
+    window: Duration::from_secs(10),
+    usable_share: 0.6,
+};
 
 fn budget() -> RetryBudget {
-    RetryBudget::new(RetryBudgetSettings {
-        ratio: 0.2,
-        extra: 60.0,
-        window: ms(10_000),
-        usable_share: 0.6,
-    })
+    RetryBudget::new(SETTINGS)
 }
 
 /// Guards against a retry storm: every request fails, each of ten daemons retries as often as it
@@ -61,3 +65,20 @@
     assert!(!budget.try_repeat(at(5_000), &stock, 10, RepeatCause::Shed).granted);
     assert!(budget.try_repeat(at(10_500), &stock, 10, RepeatCause::Shed).granted);
 }
+
+/// Guards against repeats that return before the window has passed: two bursts of repeats lie in one
+/// window, the requests of the first before it.
+#[test]
+fn repeats_return_before_the_window_has_passed() {
+    let stock = service("stock");
+    let settings = RetryBudgetSettings { usable_share: 1.0, ..SETTINGS };
+    let mut budget = RetryBudget::new(settings);
+    let mut repeats = 0.0;
+    for (requests, time) in [(0, 995), (10_005, 10_010)] {
+        (0..100).for_each(|_| budget.record_request(at(requests), &stock));
+        while budget.try_repeat(at(time), &stock, 10, RepeatCause::Shed).granted {
+            repeats += 1.0;
+        }
+    }
+    assert!(repeats <= 0.2 * 100.0 + 6.0, "{repeats} repeats from 995 to 10,010 ms");
+}
