Tell calls of runs from requests of callers, and count those of repeats apart

A daemon divides each request on its VM among the runs in progress and the callers.

Backend servers may name the request that makes a call in the identifier of the call. Where such a call was recognised by a run in progress within the last minute, requests that name no run are not divided; the daemon beside the called server learns it with the request. The name is not needed: without it, requests are divided among the runs in progress alone, since a division that also has the callers may count too few calls where load is steady. Repeats are a source of their own, and the larger figure is used.

In the replays a request now makes the same calls again each time that it runs.

--- a/crates/fleet/src/fan_out.rs
+++ b/crates/fleet/src/fan_out.rs
@@ -1,8 +1,12 @@
 //! Calls that the runs of a backend server make, learned for each route.
 //!
-//! A call does not state which run made it, and callers on the same VM send requests of their own.
-//! Each request that arrives is therefore divided among the runs in progress and the callers, in
-//! proportion to the rates at which they made calls to its service before.
+//! Requests that fail are often those that make calls, so that repeats are counted apart.
+//!
+//! Callers on the VM send requests of their own. Where backend servers give their calls identifiers
+//! that begin with that of the request which makes them, each call is counted for its run. Elsewhere,
+//! each request that arrives is divided among the runs in progress, in proportion to the rates at
+//! which they made calls to its service before. This takes requests of callers for calls, so that
+//! more repeats are refused than need be.
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
@@ -13,19 +17,22 @@
 
 /// Time over which calls are averaged; a route with few runs makes some within it.
 const MEMORY: Duration = Duration::from_secs(10);
+/// Time without calls that name their requests after which calls may come without. Callers are not
+/// taken for runs in a short pause of the calls.
+const NAMED_EXPIRY: Duration = Duration::from_secs(60);
 /// Number of calls, and of seconds, by which the rate of a source without calls is assumed.
 const PRIOR: f64 = 0.5;
 /// Calls in one run below which a route is taken to make none.
 const MIN_CALLS: f64 = 0.05;
 /// Decayed number of calls, or of runs, below which it is forgotten.
 const FORGOTTEN: f64 = 0.01;
-/// Routes after which those without recent runs are forgotten.
-const MAX_ROUTES: usize = 64;
+/// Sources after which those without recent runs are forgotten.
+const MAX_SOURCES: usize = 64;
 
 /// Expected number of calls to each service.
 pub type Calls = SmallVec<[(ServiceName, f64); 2]>;
 
-/// Runs of one route, or the callers, as a source of requests. All numbers decay.
+/// Runs of one route as a source of calls. All numbers decay.
 #[derive(Debug, Default)]
 struct Source {
     running: u32,
@@ -57,84 +64,130 @@
     }
 }
 
-/// Number of calls that runs at one backend server make.
 #[derive(Debug)]
-pub struct FanOut {
-    running: HashMap<TaskId, Arc<str>>,
-    routes: HashMap<Arc<str>, Source>,
-    callers: Source,
-    updated: Time,
+struct Run {
+    id: String,
+    source: SourceKey,
 }
 
-impl Default for FanOut {
-    fn default() -> Self {
-        FanOut {
-            running: HashMap::new(),
-            routes: HashMap::new(),
-            callers: Source { running: 1, ..Source::default() },
-            updated: Time::default(),
-        }
-    }
+/// Route of a run, and whether it is a repeat.
+type SourceKey = (Arc<str>, bool);
+
+/// A run that starts.
+#[derive(Debug, Clone, Copy)]
+pub struct StartedRun<'a> {
+    /// Identifier of the request.
+    pub id: &'a str,
+    /// Name of the matching route.
+    pub route: &'a Arc<str>,
+    /// Whether the request may have reached a backend server before.
+    pub repeat: bool,
+    /// Whether the request is a call that its daemon recognised by [`FanOut::record_request`].
+    pub named: bool,
+}
+
+/// Number of calls that runs at one backend server make.
+#[derive(Debug, Default)]
+pub struct FanOut {
+    running: HashMap<TaskId, Run>,
+    /// When a call that names the request of its run was last seen.
+    named: Option<Time>,
+    sources: HashMap<SourceKey, Source>,
+    updated: Time,
 }
 
 impl FanOut {
     /// Records the start of a run.
-    pub fn start(&mut self, now: Time, task: TaskId, route: &Arc<str>) {
+    pub fn start(&mut self, now: Time, task: TaskId, run: &StartedRun<'_>) {
         self.advance(now);
-        if self.routes.len() >= MAX_ROUTES {
-            self.routes.retain(|_, it| it.running > 0 || it.starts >= FORGOTTEN);
+        if run.named {
+            self.named = Some(now);
+        }
+        if self.sources.len() >= MAX_SOURCES {
+            self.sources.retain(|_, it| it.running > 0 || it.starts >= FORGOTTEN);
         }
-        let source = self.routes.entry(Arc::clone(route)).or_default();
+        let key = (Arc::clone(run.route), run.repeat);
+        let source = self.sources.entry(key.clone()).or_default();
         source.running += 1;
         source.starts += 1.0;
-        self.running.insert(task, Arc::clone(route));
+        self.running.insert(task, Run { id: run.id.to_owned(), source: key });
     }
 
     /// Records the end of a run.
     pub fn finish(&mut self, now: Time, task: TaskId) {
         self.advance(now);
-        let Some(route) = self.running.remove(&task) else { return };
-        if let Some(source) = self.routes.get_mut(&route) {
+        let Some(run) = self.running.remove(&task) else { return };
+        if let Some(source) = self.sources.get_mut(&run.source) {
             source.running -= 1;
         }
     }
 
     /// Records a request for `service` that was made on this VM, by a run or by a caller.
-    pub fn record_request(&mut self, now: Time, service: &ServiceName) {
+    ///
+    /// Returns whether it names with `parent` the request of a run in progress.
+    pub fn record_request(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        parent: Option<&str>,
+    ) -> bool {
         self.advance(now);
-        let sources = self.routes.values_mut().filter(|it| it.running > 0);
+        let run = parent.and_then(|parent| self.running.values().find(|it| it.id == parent));
+        if let Some(source) = run.and_then(|it| self.sources.get_mut(&it.source)) {
+            source.add_calls(service, 1.0);
+            self.named = Some(now);
+            return true;
+        }
+        if self.named.is_none() {
+            self.divide_call(service);
+        }
+        false
+    }
+
+    /// Divides a request among the runs that may have made it.
+    fn divide_call(&mut self, service: &ServiceName) {
+        let sources = self.sources.values_mut().filter(|it| it.running > 0);
         let mut sources: SmallVec<[(f64, &mut Source); 8]> =
-            sources.chain([&mut self.callers]).map(|it| (it.rate(service), it)).collect();
+            sources.map(|it| (it.rate(service), it)).collect();
         let total: f64 = sources.iter().map(|it| it.0).sum();
         for (rate, source) in &mut sources {
             source.add_calls(service, *rate / total);
         }
     }
 
-    /// Returns the number of calls that one run of a route is expected to make.
-    pub fn calls(&self, route: &str) -> Calls {
-        let Some(source) = self.routes.get(route) else { return Calls::new() };
-        let calls = source.calls.iter();
-        let calls = calls.map(|(service, calls)| (service.clone(), calls / source.starts.max(1.0)));
-        calls.filter(|it| it.1 >= MIN_CALLS).collect()
+    /// Returns the number of calls that a repeated run of a route is expected to make: as many as
+    /// runs of the route make on average, and as repeats of them do.
+    pub fn calls(&self, route: &Arc<str>) -> Calls {
+        let mut expected = Calls::new();
+        for repeat in [false, true] {
+            let Some(source) = self.sources.get(&(Arc::clone(route), repeat)) else { continue };
+            for (service, calls) in &source.calls {
+                let calls = calls / source.starts.max(1.0);
+                match expected.iter_mut().find(|it| it.0 == *service) {
+                    Some(it) => it.1 = it.1.max(calls),
+                    None => expected.push((service.clone(), calls)),
+                }
+            }
+        }
+        expected.retain(|it| it.1 >= MIN_CALLS);
+        expected
     }
 
     /// Forgets what was learned, since another backend server runs on the VM.
     pub fn reset(&mut self) {
-        for source in self.routes.values_mut() {
+        for source in self.sources.values_mut() {
             *source = Source { running: source.running, ..Source::default() };
         }
     }
 
     fn advance(&mut self, now: Time) {
+        self.named = self.named.filter(|it| now.since(*it) < NAMED_EXPIRY);
         let passed = now.since(self.updated).as_secs_f64();
         if passed <= 0.0 {
             return;
         }
         self.updated = now;
         let decay = (-passed / MEMORY.as_secs_f64()).exp();
-        for source in self.routes.values_mut().chain([&mut self.callers]) {
-            source.advance(passed, decay);
-        }
+        self.sources.values_mut().for_each(|it| it.advance(passed, decay));
     }
 }
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod crash_storm;
 mod directory;
+mod fan_out;
 mod fetch;
 mod fixture;
 mod link;
--- a/crates/fleet/tests/suite/retry_storm.rs
+++ b/crates/fleet/tests/suite/retry_storm.rs
@@ -10,7 +10,9 @@
 
 use rand::{Rng, RngExt};
 use rand_chacha::ChaCha8Rng;
-use shallottack_fleet::{FanOut, RepeatCause, RetryBudget, RetryBudgetSettings, TaskId};
+use shallottack_fleet::{
+    FanOut, RepeatCause, RetryBudget, RetryBudgetSettings, StartedRun, TaskId,
+};
 use shallottack_kernel::ServiceName;
 
 use crate::fixture::{at, ms, rng, service};
@@ -30,7 +32,7 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Route {
-    /// Runs at a desk and makes two calls to `stock` in seven of ten runs.
+    /// Runs at a desk. The runs of seven in ten requests make two calls to `stock`.
     Browse,
     /// Runs at a desk, once at most.
     Order,
@@ -69,9 +71,9 @@
         Daemon { budget, fan_out: FanOut::default() }
     }
 
-    fn record_request(&mut self, now: u64, service: &ServiceName) {
+    fn record_request(&mut self, now: u64, service: &ServiceName, parent: Option<&str>) -> bool {
         self.budget.record_request(at(now), service);
-        self.fan_out.record_request(at(now), service);
+        self.fan_out.record_request(at(now), service, parent)
     }
 
     fn try_repeat(&mut self, now: u64, service: &ServiceName, cause: RepeatCause) -> bool {
@@ -79,7 +81,7 @@
     }
 
     /// Starts a run, and returns whether it may start.
-    fn start(&mut self, now: u64, task: u64, route: Route, repeat: bool) -> bool {
+    fn start(&mut self, now: u64, task: u64, route: Route, repeat: bool, named: bool) -> bool {
         let route = Arc::from(format!("{route:?}"));
         if repeat {
             let calls = self.fan_out.calls(&route);
@@ -88,7 +90,8 @@
             }
             self.budget.charge_calls(at(now), &calls);
         }
-        self.fan_out.start(at(now), TaskId(task), &route);
+        let run = StartedRun { id: &task.to_string(), route: &route, repeat, named };
+        self.fan_out.start(at(now), TaskId(task), &run);
         true
     }
 
@@ -106,8 +109,12 @@
     /// Daemon beside the backend server that runs it.
     server: usize,
     arrivals: u32,
+    /// Whether its daemon recognised it as a call.
+    named: bool,
     /// The job that made this call.
     parent: Option<u64>,
+    /// Whether its runs make calls.
+    makes_calls: bool,
     /// Calls in progress, and whether one has failed.
     calls: u32,
     failed: bool,
@@ -130,6 +137,8 @@
 
 struct Replay {
     uneven: Uneven,
+    /// Whether calls name the requests that make them.
+    named: bool,
     daemons: Vec<Daemon>,
     jobs: BTreeMap<u64, Job>,
     steps: BinaryHeap<std::cmp::Reverse<(u64, u64, Step)>>,
@@ -144,10 +153,11 @@
 }
 
 impl Replay {
-    fn run(uneven: Uneven, seed: u64) -> Replay {
+    fn run(uneven: Uneven, named: bool, seed: u64) -> Replay {
         let mut rng = rng(seed);
         let mut replay = Replay {
             uneven,
+            named,
             daemons: (0..DAEMONS).map(|_| Daemon::new(0)).collect(),
             jobs: BTreeMap::new(),
             steps: BinaryHeap::new(),
@@ -207,8 +217,12 @@
             }
             None => rng.random_range(0..DAEMONS),
         };
-        let job = Job { route, daemon, server: 0, arrivals: 0, parent, calls: 0, failed: false };
-        self.daemons[daemon].record_request(now, &target(route));
+        let stated = parent.filter(|_| self.named).map(|it| it.to_string());
+        let named = self.daemons[daemon].record_request(now, &target(route), stated.as_deref());
+        let makes_calls = rng.random_bool(0.7);
+        let (server, arrivals, calls, failed) = (0, 0, 0, false);
+        let job =
+            Job { route, daemon, server, arrivals, named, parent, makes_calls, calls, failed };
         if !self.is_nested(&job) {
             self.count(now, route, None);
         }
@@ -221,7 +235,7 @@
 
     /// Returns a daemon that starts the run of a job, or `None` if three of them refuse it.
     fn place(&mut self, now: u64, id: u64, repeat: bool, rng: &mut ChaCha8Rng) -> Option<usize> {
-        let route = self.jobs[&id].route;
+        let Job { route, named, .. } = self.jobs[&id];
         let servers = match route {
             Route::Check => DESKS..DAEMONS,
             _ if self.uneven == Uneven::Load && repeat => 0..DESKS / 4,
@@ -229,7 +243,7 @@
         };
         (0..3)
             .map(|_| rng.random_range(servers.clone()))
-            .find(|it| self.daemons[*it].start(now, id, route, repeat))
+            .find(|it| self.daemons[*it].start(now, id, route, repeat, named))
     }
 
     /// Sends a job to backend servers until one of them runs it.
@@ -269,7 +283,7 @@
             Route::Order => ORDER_RUN,
             Route::Check => STOCK_RUN,
         };
-        let calls = job.route == Route::Browse && rng.random_bool(0.7);
+        let calls = job.route == Route::Browse && job.makes_calls;
         job.calls = if calls { 2 } else { 0 };
         self.push(now + run + u64::from(rng.next_u32() % 20), Step::End(id));
         if calls {
@@ -326,12 +340,13 @@
 }
 
 fn check(uneven: Uneven) {
-    for seed in 1..4 {
-        let replay = Replay::run(uneven, seed);
+    for (named, seed) in [false, true].into_iter().flat_map(|it| (1..4).map(move |seed| (it, seed)))
+    {
+        let replay = Replay::run(uneven, named, seed);
         for name in ["desk", "stock"] {
             let (start, causes, repeats, allowed) = replay.worst_window(&service(name));
             println!(
-                "{uneven:?} {seed} {name}: {repeats} of {allowed:.0} from {start} ms, {causes:?}; \
+                "{uneven:?} {named} {seed} {name}: {repeats} of {allowed:.0} from {start} ms, {causes:?}; \
                  served {} of {}",
                 replay.served, replay.requests
             );
--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -42,6 +42,8 @@
 /// A caller's request with its route.
 struct Call {
     id: String,
+    /// Whether it is a call that names the request whose run makes it.
+    named_call: bool,
     route: Arc<Route>,
     service: ServiceName,
     began: Time,
@@ -219,13 +221,14 @@
         returned: returned.is_some(),
         trial: None,
     };
-    {
+    let named_call = {
         let mut shared = node.shared();
         shared.placement.budget_mut().record_request(began, &service);
-        shared.fan_out.record_request(began, &service);
-    }
+        shared.fan_out.record_request(began, &service, headers::parent(&id))
+    };
     Ok(Call {
         id,
+        named_call,
         service,
         began,
         first_at,
@@ -403,6 +406,7 @@
     let left = call.placement.deadline.since(now);
     let request = RunRequest {
         id: call.id.clone(),
+        named_call: call.named_call,
         server: target.server.id.clone(),
         caller: node.settings.service.clone(),
         key: call.key,
--- a/crates/sidecar/src/message.rs
+++ b/crates/sidecar/src/message.rs
@@ -28,6 +28,8 @@
     pub priority: u8,
     /// Rank among the requests of the route.
     pub ticket: Ticket,
+    /// Whether it is a call that names the request whose run makes it.
+    pub named_call: bool,
     /// Why the request is sent once more, `None` if it reached no backend server before.
     pub repeat: Option<RepeatCause>,
     /// Whether the request may run more than once.
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use shallottack_fleet::{
-    Admission, Arrival, Calls, RepeatCause, RequestKey, RunEnd, Standing, TaskId,
+    Admission, Arrival, Calls, RepeatCause, RequestKey, RunEnd, Standing, StartedRun, TaskId,
 };
 use shallottack_kernel::{ErrorKind, Time};
 use shallottack_rpc::{FleetHandler, Frame, PROTOCOL};
@@ -98,7 +98,13 @@
         let now = node.now();
         let mut shared = node.shared();
         shared.runs.start(task, request.key);
-        shared.fan_out.start(now, task, &request.route);
+        let run = StartedRun {
+            id: &request.id,
+            route: &request.route,
+            repeat: request.repeat.is_some(),
+            named: request.named_call,
+        };
+        shared.fan_out.start(now, task, &run);
         drop(shared);
         if request.repeat.is_some() {
             charge_calls(node, now, request);
