State the cause of each call that a repeat makes again

Calls of a repeat had a `ran` line like any other call, and only the joined logs of two daemons told them apart. A call that names the run that makes it now travels with the cause `nested` if that run is a repeat, so that its own `ran` line states it, and calls that it makes in turn are taken out of the budgets, too. They are not refused, since the first run was granted with its calls.

--- a/crates/fleet/src/fan_out.rs
+++ b/crates/fleet/src/fan_out.rs
@@ -73,6 +73,17 @@
 /// Route of a run, and whether it is a repeat.
 type SourceKey = (Arc<str>, bool);
 
+/// What is known of where a request comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallOrigin {
+    /// A caller, or a run that it does not name.
+    Unknown,
+    /// It is a call of a run in progress.
+    Run,
+    /// It is a call of a run in progress that is a repeat.
+    Repeat,
+}
+
 /// A run that starts.
 #[derive(Debug, Clone, Copy)]
 pub struct StartedRun<'a> {
@@ -124,24 +135,26 @@
 
     /// Records a request for `service` that was made on this VM, by a run or by a caller.
     ///
-    /// Returns whether it names with `parent` the request of a run in progress.
+    /// `parent` is the identifier of the request that it names as the one that makes it.
     pub fn record_request(
         &mut self,
         now: Time,
         service: &ServiceName,
         parent: Option<&str>,
-    ) -> bool {
+    ) -> CallOrigin {
         self.advance(now);
         let run = parent.and_then(|parent| self.running.values().find(|it| it.id == parent));
-        if let Some(source) = run.and_then(|it| self.sources.get_mut(&it.source)) {
-            source.add_calls(service, 1.0);
+        if let Some(run) = run {
+            if let Some(source) = self.sources.get_mut(&run.source) {
+                source.add_calls(service, 1.0);
+            }
             self.named = Some(now);
-            return true;
+            return if run.source.1 { CallOrigin::Repeat } else { CallOrigin::Run };
         }
         if self.named.is_none() {
             self.divide_call(service);
         }
-        false
+        CallOrigin::Unknown
     }
 
     /// Divides a request among the runs that may have made it.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -35,7 +35,7 @@
 pub use candidate::LoadReport;
 pub use configuration::{Configuration, Limits, Match, Route, Target};
 pub use directory::{Digest, Directory, Member, MergeResult};
-pub use fan_out::{Calls, FanOut, StartedRun};
+pub use fan_out::{CallOrigin, Calls, FanOut, StartedRun};
 pub use fetch::{FetchDecision, FetchSettings, FetchTracker};
 pub use link::{LARGE_BYTES, Link};
 pub use neighbours::{NeighbourSettings, Neighbours, is_store_reader};
--- a/crates/fleet/tests/suite/fan_out.rs
+++ b/crates/fleet/tests/suite/fan_out.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use rand::RngExt;
-use shallottack_fleet::{Calls, FanOut, StartedRun, TaskId};
+use shallottack_fleet::{CallOrigin, Calls, FanOut, StartedRun, TaskId};
 
 use crate::fixture::{at, rng, service};
 
@@ -33,11 +33,13 @@
             ends.push((now + rng.random_range(50..250), now + 20_000));
             for _ in 0..2 {
                 let parent = names.then_some(id.as_str());
-                assert_eq!(fan_out.record_request(at(now), &service("stock"), parent), names);
+                let origin = fan_out.record_request(at(now), &service("stock"), parent);
+                assert_eq!(origin == CallOrigin::Run, names);
             }
         }
         if rng.random_bool(0.01) {
-            assert!(!fan_out.record_request(at(now), &service("stock"), None));
+            let origin = fan_out.record_request(at(now), &service("stock"), None);
+            assert_eq!(origin, CallOrigin::Unknown);
         }
     }
     (fan_out.calls(&browse), fan_out.calls(&order))
@@ -74,7 +76,8 @@
         let run = StartedRun { id: &id, route: &browse, repeat, named: false };
         fan_out.start(at(task), TaskId(task), &run);
         if repeat {
-            fan_out.record_request(at(task), &service("stock"), Some(&id));
+            let origin = fan_out.record_request(at(task), &service("stock"), Some(&id));
+            assert_eq!(origin, CallOrigin::Repeat);
         }
         fan_out.finish(at(task), TaskId(task));
     }
--- a/crates/fleet/tests/suite/retry_storm.rs
+++ b/crates/fleet/tests/suite/retry_storm.rs
@@ -11,7 +11,7 @@
 use rand::{Rng, RngExt};
 use rand_chacha::ChaCha8Rng;
 use shallottack_fleet::{
-    FanOut, RepeatCause, RetryBudget, RetryBudgetSettings, StartedRun, TaskId,
+    CallOrigin, FanOut, RepeatCause, RetryBudget, RetryBudgetSettings, StartedRun, TaskId,
 };
 use shallottack_kernel::ServiceName;
 
@@ -71,7 +71,12 @@
         Daemon { budget, fan_out: FanOut::default() }
     }
 
-    fn record_request(&mut self, now: u64, service: &ServiceName, parent: Option<&str>) -> bool {
+    fn record_request(
+        &mut self,
+        now: u64,
+        service: &ServiceName,
+        parent: Option<&str>,
+    ) -> CallOrigin {
         self.budget.record_request(at(now), service);
         self.fan_out.record_request(at(now), service, parent)
     }
@@ -218,7 +223,8 @@
             None => rng.random_range(0..DAEMONS),
         };
         let stated = parent.filter(|_| self.named).map(|it| it.to_string());
-        let named = self.daemons[daemon].record_request(now, &target(route), stated.as_deref());
+        let origin = self.daemons[daemon].record_request(now, &target(route), stated.as_deref());
+        let named = origin != CallOrigin::Unknown;
         let makes_calls = rng.random_bool(0.7);
         let (server, arrivals, calls, failed) = (0, 0, 0, false);
         let job =
--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request};
 use shallottack_fleet::{
-    Choice, Configuration, Match, Next, Outcome, PlacementRequest, RateLimit, RepeatCause,
-    RequestKey, Route, SendHistory, Server, TaskId, VersionFilter,
+    CallOrigin, Choice, Configuration, Match, Next, Outcome, PlacementRequest, RateLimit,
+    RepeatCause, RequestKey, Route, SendHistory, Server, TaskId, VersionFilter,
 };
 use shallottack_http::{
     Application, ConnectionLimits, ERROR_HEADER, ParseError, RUN_HEADER, SizeLimits,
@@ -42,8 +42,7 @@
 /// A caller's request with its route.
 struct Call {
     id: String,
-    /// Whether it is a call that names the request whose run makes it.
-    named_call: bool,
+    origin: CallOrigin,
     route: Arc<Route>,
     service: ServiceName,
     began: Time,
@@ -221,14 +220,14 @@
         returned: returned.is_some(),
         trial: None,
     };
-    let named_call = {
+    let origin = {
         let mut shared = node.shared();
         shared.placement.budget_mut().record_request(began, &service);
         shared.fan_out.record_request(began, &service, headers::parent(&id))
     };
     Ok(Call {
         id,
-        named_call,
+        origin,
         service,
         began,
         first_at,
@@ -298,7 +297,9 @@
         };
         let (vm, server) = (target.vm.clone(), target.server.clone());
         guard.sent_to = Some(vm.clone());
-        let (outcome, response, reason) = send_to(node, call, target, history.repeat).await;
+        let nested = (call.origin == CallOrigin::Repeat).then_some(RepeatCause::Nested);
+        let repeat = history.repeat.or(nested);
+        let (outcome, response, reason) = send_to(node, call, target, repeat).await;
         guard.sent_to = None;
         let ended = node.now();
         if !matches!(outcome, Outcome::Answered { .. }) {
@@ -406,7 +407,7 @@
     let left = call.placement.deadline.since(now);
     let request = RunRequest {
         id: call.id.clone(),
-        named_call: call.named_call,
+        named_call: call.origin != CallOrigin::Unknown,
         server: target.server.id.clone(),
         caller: node.settings.service.clone(),
         key: call.key,
--- a/crates/sidecar/src/message.rs
+++ b/crates/sidecar/src/message.rs
@@ -30,7 +30,8 @@
     pub ticket: Ticket,
     /// Whether it is a call that names the request whose run makes it.
     pub named_call: bool,
-    /// Why the request is sent once more, `None` if it reached no backend server before.
+    /// Why the request is a repeat, `None` if it reached no backend server before and no repeat
+    /// makes it.
     pub repeat: Option<RepeatCause>,
     /// Whether the request may run more than once.
     pub idempotent: bool,
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -289,7 +289,8 @@
 /// Returns why a repeat is refused, and when to retry, if the calls that it makes again exceed the
 /// retry budgets of the called services.
 fn check_calls(node: &Node, request: &RunRequest) -> Result<(), (ErrorKind, Duration)> {
-    if request.repeat.is_none() {
+    // Nested calls were granted with the run that makes them.
+    if matches!(request.repeat, None | Some(RepeatCause::Nested)) {
         return Ok(());
     }
     let now = node.now();
