Correct the budget by the calls that a repeat has made

Where calls name the request that makes them, the end of a repeat corrects the budget by those that it made, in both directions.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -156,7 +156,8 @@
         })
     }
 
-    /// Takes the calls that a repeated run makes again out of the budgets of the called services.
+    /// Takes the calls that a repeated run makes again out of the budgets of the called services, or
+    /// gives back those that it did not make.
     ///
     /// They are repeats and no requests, so that they do not add to what is allowed when they come.
     pub fn charge_calls(&mut self, now: Time, calls: &Calls) {
--- a/crates/fleet/src/fan_out.rs
+++ b/crates/fleet/src/fan_out.rs
@@ -55,12 +55,12 @@
         let calls = self.calls.iter().find(|it| it.0 == *service).map_or(0.0, |it| it.1);
         f64::from(self.running) * (calls + PRIOR) / (self.seconds + PRIOR)
     }
+}
 
-    fn add_calls(&mut self, service: &ServiceName, calls: f64) {
-        match self.calls.iter_mut().find(|it| it.0 == *service) {
-            Some(it) => it.1 += calls,
-            None => self.calls.push((service.clone(), calls)),
-        }
+fn add_calls(sum: &mut Calls, service: &ServiceName, calls: f64) {
+    match sum.iter_mut().find(|it| it.0 == *service) {
+        Some(it) => it.1 += calls,
+        None => sum.push((service.clone(), calls)),
     }
 }
 
@@ -68,6 +68,9 @@
 struct Run {
     id: String,
     source: SourceKey,
+    /// Calls that a repeat is expected to make, and those that it made.
+    expected: Calls,
+    made: Calls,
 }
 
 /// Route of a run, and whether it is a repeat.
@@ -108,9 +111,11 @@
 }
 
 impl FanOut {
-    /// Records the start of a run.
-    pub fn start(&mut self, now: Time, task: TaskId, run: &StartedRun<'_>) {
+    /// Records the start of a run. Returns the number of calls that it is expected to make if it is a
+    /// repeat.
+    pub fn start(&mut self, now: Time, task: TaskId, run: &StartedRun<'_>) -> Calls {
         self.advance(now);
+        let expected = if run.repeat { self.calls(run.route) } else { Calls::new() };
         if run.named {
             self.named = Some(now);
         }
@@ -121,16 +126,27 @@
         let source = self.sources.entry(key.clone()).or_default();
         source.running += 1;
         source.starts += 1.0;
-        self.running.insert(task, Run { id: run.id.to_owned(), source: key });
+        let (id, made) = (run.id.to_owned(), Calls::new());
+        self.running.insert(task, Run { id, source: key, expected: expected.clone(), made });
+        expected
     }
 
-    /// Records the end of a run.
-    pub fn finish(&mut self, now: Time, task: TaskId) {
+    /// Records the end of a run. Returns how many more calls, or fewer, a repeat made than expected.
+    pub fn finish(&mut self, now: Time, task: TaskId) -> Calls {
         self.advance(now);
-        let Some(run) = self.running.remove(&task) else { return };
+        let Some(run) = self.running.remove(&task) else { return Calls::new() };
         if let Some(source) = self.sources.get_mut(&run.source) {
             source.running -= 1;
         }
+        // Which run made a call is certain only if calls name their requests.
+        if !run.source.1 || self.named.is_none() {
+            return Calls::new();
+        }
+        let mut difference = run.made;
+        for (service, calls) in &run.expected {
+            add_calls(&mut difference, service, -calls);
+        }
+        difference
     }
 
     /// Records a request for `service` that was made on this VM, by a run or by a caller.
@@ -143,10 +159,11 @@
         parent: Option<&str>,
     ) -> CallOrigin {
         self.advance(now);
-        let run = parent.and_then(|parent| self.running.values().find(|it| it.id == parent));
-        if let Some(run) = run {
+        let mut runs = self.running.values_mut();
+        if let Some(run) = parent.and_then(|parent| runs.find(|it| it.id == parent)) {
+            add_calls(&mut run.made, service, 1.0);
             if let Some(source) = self.sources.get_mut(&run.source) {
-                source.add_calls(service, 1.0);
+                add_calls(&mut source.calls, service, 1.0);
             }
             self.named = Some(now);
             return if run.source.1 { CallOrigin::Repeat } else { CallOrigin::Run };
@@ -164,7 +181,7 @@
             sources.map(|it| (it.rate(service), it)).collect();
         let total: f64 = sources.iter().map(|it| it.0).sum();
         for (rate, source) in &mut sources {
-            source.add_calls(service, *rate / total);
+            add_calls(&mut source.calls, service, *rate / total);
         }
     }
 
--- a/crates/fleet/tests/suite/fan_out.rs
+++ b/crates/fleet/tests/suite/fan_out.rs
@@ -83,3 +83,20 @@
     }
     assert!((0.95..1.05).contains(&count(&fan_out.calls(&browse))));
 }
+
+/// Guards against calls beyond the expected ones that no budget is charged for.
+#[test]
+fn unexpected_calls_of_a_repeat_are_not_counted() {
+    let (mut fan_out, browse) = (FanOut::default(), Arc::from("browse"));
+    let mut made = Vec::new();
+    for (task, calls) in [(1, 1), (2, 3), (3, 0)] {
+        let id = task.to_string();
+        let run = StartedRun { id: &id, route: &browse, repeat: true, named: false };
+        let expected = count(&fan_out.start(at(task), TaskId(task), &run));
+        for _ in 0..calls {
+            fan_out.record_request(at(task), &service("stock"), Some(&id));
+        }
+        made.push(expected + count(&fan_out.finish(at(task), TaskId(task))));
+    }
+    assert_eq!(made, [1.0, 3.0, 0.0]);
+}
--- a/crates/fleet/tests/suite/retry_storm.rs
+++ b/crates/fleet/tests/suite/retry_storm.rs
@@ -93,15 +93,16 @@
             if !self.budget.calls_fit(at(now), &calls) {
                 return false;
             }
-            self.budget.charge_calls(at(now), &calls);
         }
         let run = StartedRun { id: &task.to_string(), route: &route, repeat, named };
-        self.fan_out.start(at(now), TaskId(task), &run);
+        let calls = self.fan_out.start(at(now), TaskId(task), &run);
+        self.budget.charge_calls(at(now), &calls);
         true
     }
 
     fn finish(&mut self, now: u64, task: u64) {
-        self.fan_out.finish(at(now), TaskId(task));
+        let more = self.fan_out.finish(at(now), TaskId(task));
+        self.budget.charge_calls(at(now), &more);
     }
 }
 
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -104,11 +104,10 @@
             repeat: request.repeat.is_some(),
             named: request.named_call,
         };
-        shared.fan_out.start(now, task, &run);
+        let calls = shared.fan_out.start(now, task, &run);
+        shared.placement.budget_mut().charge_calls(now, &calls);
         drop(shared);
-        if request.repeat.is_some() {
-            charge_calls(node, now, request);
-        }
+        log_calls(node, now, request, &calls, true);
         RunGuard {
             node,
             task,
@@ -126,7 +125,8 @@
         let now = self.node.now();
         let mut shared = self.node.shared();
         shared.runs.finish(now, self.task, self.end.unwrap_or(RunEnd::Unanswered));
-        shared.fan_out.finish(now, self.task);
+        let more = shared.fan_out.finish(now, self.task);
+        shared.placement.budget_mut().charge_calls(now, &more);
         drop(shared);
         if self.end.is_none() {
             self.node.events.write(&Event::Ran {
@@ -307,17 +307,6 @@
     Err((ErrorKind::Overloaded, REFUSED_RETRY_AFTER))
 }
 
-/// Takes the calls that a repeat makes again out of the retry budgets of the called services.
-fn charge_calls(node: &Node, now: Time, request: &RunRequest) {
-    let calls = {
-        let mut shared = node.shared();
-        let calls = shared.fan_out.calls(&request.route);
-        shared.placement.budget_mut().charge_calls(now, &calls);
-        calls
-    };
-    log_calls(node, now, request, &calls, true);
-}
-
 /// Logs the decision on whether a repeat may make its calls again.
 fn log_calls(node: &Node, now: Time, request: &RunRequest, calls: &Calls, granted: bool) {
     for (service, calls) in calls {
