Move the decisions on repeats out of the callers' file

The log of decisions on repeats and the check of the calls that a repeat makes again are in a file of their own now; nothing else changes.

--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -21,6 +21,7 @@
     message::{RunOutcome, RunReply, RunRequest, decode, encode},
     node::{Node, Shared},
     relay,
+    repeats::log_repeat,
 };
 
 /// Deadline of a request when neither the caller nor the route states one.
@@ -327,7 +328,7 @@
             outcome,
         );
         drop(shared);
-        log_repeat(node, call, history);
+        log_repeat(node, &call.id, &call.service, history);
         match (next, response) {
             (Next::Deliver, Some(response)) => return Ok(response),
             (Next::Retry, response) => {
@@ -348,27 +349,6 @@
     }
 }
 
-/// Logs the decision on whether a request is sent once more, if there was one.
-fn log_repeat(node: &Node, call: &Call, history: &SendHistory) {
-    let Some(decision) = &history.decision else { return };
-    let labels = [
-        ("cause", decision.cause.as_str()),
-        ("outcome", if decision.granted { "granted" } else { "denied" }),
-    ];
-    metrics::counter!("shallottack_repeats_total", &labels).increment(1);
-    node.events.write(&Event::Repeat {
-        id: &call.id,
-        service: call.service.as_str(),
-        cause: decision.cause,
-        granted: decision.granted,
-        arrivals: history.arrivals,
-        requests: decision.budget.requests,
-        repeats: decision.budget.total(),
-        nested: decision.budget.nested(),
-        allowed: decision.budget.allowed,
-    });
-}
-
 /// Returns the rejection of a request at which backend servers crashed.
 fn blocked(call: &Call, history: &SendHistory, retry_after: Duration) -> Rejection {
     let kind = history.final_kind(ErrorKind::Blocked);
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -20,6 +20,7 @@
 mod node;
 mod publish;
 mod relay;
+mod repeats;
 mod rollouts;
 mod settings;
 mod sync;
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use shallottack_fleet::{
-    Admission, Arrival, Calls, RepeatCause, RequestKey, RunEnd, Standing, StartedRun, TaskId,
+    Admission, Arrival, RepeatCause, RequestKey, RunEnd, Standing, StartedRun, TaskId,
 };
 use shallottack_kernel::{ErrorKind, Time};
 use shallottack_rpc::{FleetHandler, Frame, PROTOCOL};
@@ -18,6 +18,7 @@
     in_progress::InProgressGuard,
     message::{RunOutcome, RunReply, RunRequest, decode, encode},
     node::{Node, SlotDecision},
+    repeats::{check_calls, log_calls},
 };
 
 /// `Retry-After` of a refused request; its backend server may be available again by then.
@@ -283,45 +284,7 @@
 /// Returns why a request is refused, and when to retry, whatever slots are free.
 fn check_start(node: &Node, request: &RunRequest) -> Result<(), (ErrorKind, Duration)> {
     check_standing(node, request)?;
-    check_calls(node, request)
-}
-
-/// Returns why a repeat is refused, and when to retry, if the calls that it makes again exceed the
-/// retry budgets of the called services.
-fn check_calls(node: &Node, request: &RunRequest) -> Result<(), (ErrorKind, Duration)> {
-    // Nested calls were granted with the run that makes them.
-    if matches!(request.repeat, None | Some(RepeatCause::Nested)) {
-        return Ok(());
-    }
-    let now = node.now();
-    let (calls, fits) = {
-        let shared = node.shared();
-        let calls = shared.fan_out.calls(&request.route);
-        let fits = shared.placement.budget().calls_fit(now, &calls);
-        (calls, fits)
-    };
-    if fits {
-        return Ok(());
-    }
-    log_calls(node, now, request, &calls, false);
-    Err((ErrorKind::Overloaded, REFUSED_RETRY_AFTER))
-}
-
-/// Logs the decision on whether a repeat may make its calls again.
-fn log_calls(node: &Node, now: Time, request: &RunRequest, calls: &Calls, granted: bool) {
-    for (service, calls) in calls {
-        let budget = node.shared().placement.budget().usage(now, service);
-        node.events.write(&Event::RepeatedCalls {
-            id: &request.id,
-            service: service.as_str(),
-            calls: *calls,
-            granted,
-            requests: budget.requests,
-            repeats: budget.total(),
-            nested: budget.nested(),
-            allowed: budget.allowed,
-        });
-    }
+    check_calls(node, request).map_err(|kind| (kind, REFUSED_RETRY_AFTER))
 }
 
 /// Returns why a request is refused, and when to retry, if backend servers crashed while they ran it.
