Bring comments on the retry budget in line with the code

The share of the budget that is left unused was still described as room for nested calls, which are within the used share since, and a run that counts as a repeat as one that reached a server before.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -109,7 +109,7 @@
     repeats: [f64; CAUSES],
 }
 
-/// Retry budget of each service, with the recent requests and retries seen by this daemon.
+/// This daemon's parts of the retry budgets of all services.
 #[derive(Debug)]
 pub struct RetryBudget {
     settings: RetryBudgetSettings,
--- a/crates/fleet/src/fan_out.rs
+++ b/crates/fleet/src/fan_out.rs
@@ -73,7 +73,7 @@
     made: Calls,
 }
 
-/// Route of a run, and whether it is a repeat.
+/// Route of a run, and [`StartedRun::repeat`].
 type SourceKey = (Arc<str>, bool);
 
 /// What is known of where a request comes from.
@@ -94,13 +94,13 @@
     pub id: &'a str,
     /// Name of the matching route.
     pub route: &'a Arc<str>,
-    /// Whether the request may have reached a backend server before.
+    /// Whether the run is a repeat, or a call that a repeat makes again.
     pub repeat: bool,
     /// Whether the request is a call that its daemon recognised by [`FanOut::record_request`].
     pub named: bool,
 }
 
-/// Number of calls that runs at one backend server make.
+/// Calls that runs at one backend server make.
 #[derive(Debug, Default)]
 pub struct FanOut {
     running: HashMap<TaskId, Run>,
--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -43,6 +43,7 @@
 /// A caller's request with its route.
 struct Call {
     id: String,
+    /// Whether a run on this VM makes it.
     origin: CallOrigin,
     route: Arc<Route>,
     service: ServiceName,
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -50,8 +50,8 @@
     pub placement: PlacementSettings,
     /// Callers that retry after a rejection.
     pub returns: RejectedCallersSettings,
-    /// Fraction of the fleet's retry budget that is used. The rest covers retries of nested calls
-    /// that backend servers make, and daemons that are not counted as sharing the budget yet.
+    /// Fraction of the fleet's retry budget that is used. The rest is for daemons that have just
+    /// started, and covers runs that make more calls than expected.
     pub budget_share: f64,
 }
 
