review: a request body within the limits exceeds a daemon's memory

Shows that one request with a body of 60 MiB, which the configuration allows, takes the daemon of its caller beyond the 110 MB of the machine. The platform's stand-in kills the daemon, and the requests of the other callers are lost.

--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -1,9 +1,11 @@
 //! The cases.
 
 mod hang;
+mod memory;
 
 use std::{io, time::Duration};
 
+use self::memory::Disruption;
 use crate::{
     Rule,
     caller::{HOST, Seen},
@@ -14,6 +16,7 @@
 pub fn run(name: &str, trouble: bool, record: &Record) -> io::Result<Rule> {
     match name {
         "hang" => hang::run(trouble, record),
+        "long-body" => memory::run(Disruption::LongBody, trouble, record),
         _ => Err(io::Error::other("there is no such case")),
     }
 }
