review: response bodies without end exceed a daemon's memory

Shows that nine responses without end from the endpoint beside a daemon, as many as it has slots, take the daemon beyond the 110 MB of the machine, since each is collected up to 16 MiB. The platform's stand-in kills it, and the requests of the other callers are lost.

--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -17,6 +17,7 @@
     match name {
         "hang" => hang::run(trouble, record),
         "long-body" => memory::run(Disruption::LongBody, trouble, record),
+        "endless-answers" => memory::run(Disruption::EndlessAnswers, trouble, record),
         _ => Err(io::Error::other("there is no such case")),
     }
 }
