review: a restarted daemon forgets a leave that it acknowledged

Shows that a leave that is acknowledged while the store is down lasts only as long as the process: after a kill and a late check-in the endpoint gets requests again, 7 s after the acknowledgement.

--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod hang;
+mod leave;
 mod memory;
 
 use std::{io, time::Duration};
@@ -16,6 +17,7 @@
 pub fn run(name: &str, trouble: bool, record: &Record) -> io::Result<Rule> {
     match name {
         "hang" => hang::run(trouble, record),
+        "leave" => leave::run(trouble, record),
         "long-body" => memory::run(Disruption::LongBody, trouble, record),
         "endless-answers" => memory::run(Disruption::EndlessAnswers, trouble, record),
         _ => Err(io::Error::other("there is no such case")),
