review: a head with status 101 leaves its caller without an answer

Shows that the daemon passes an unasked head with status 101 on as the complete response, so that the caller never gets an answer. One of two endpoints sends it in the place of one answer in 20.

--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod hang;
+mod interim;
 mod leave;
 mod memory;
 
@@ -17,6 +18,7 @@
 pub fn run(name: &str, trouble: bool, record: &Record) -> io::Result<Rule> {
     match name {
         "hang" => hang::run(trouble, record),
+        "interim" => interim::run(trouble, record),
         "leave" => leave::run(trouble, record),
         "long-body" => memory::run(Disruption::LongBody, trouble, record),
         "endless-answers" => memory::run(Disruption::EndlessAnswers, trouble, record),
