--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -2,10 +2,14 @@
 
 use std::{
     fs, io,
-    net::{SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    ops::Range,
     path::PathBuf,
     process::{Child, Command, Stdio},
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU32, Ordering::SeqCst},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -62,9 +66,23 @@
     folder: PathBuf,
 }
 
-/// Returns an address with a port that is free now.
+/// Ports that no system gives to outgoing connections, so that a free one stays free.
+const PORTS: Range<u16> = 20_000..32_000;
+/// Number of ports between the first ones of two processes, more than a case needs.
+const PORTS_PER_CASE: u32 = 64;
+
+/// Returns an address with a port that is free.
 fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let first = std::process::id().wrapping_mul(PORTS_PER_CASE);
+    for _ in PORTS {
+        let offset = first.wrapping_add(NEXT.fetch_add(1, SeqCst)) % PORTS.len() as u32;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, PORTS.start + offset as u16));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    Err(io::Error::other("no port is free"))
 }
 
 impl Site {
