--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,6 +1,8 @@
 #!/usr/bin/env bash
 # Runs the case of claim.txt: exits with 1 if the rule was broken, 0 if it held and 2 if it could not run.
+# TROUBLE=0 does the same without the disruption.
 set -uo pipefail
+trouble=${TROUBLE:-1}
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.."
 for program in target/release/shallottackd target/review/standin; do
@@ -9,4 +11,4 @@
         exit 2
     fi
 done
-exec target/review/standin hang "$folder"
+exec target/review/standin hang "$folder" "$trouble"
--- a/review/standin/caller.rs
+++ b/review/standin/caller.rs
@@ -32,7 +32,7 @@
     Answer(u16, bool),
     /// The connection ended without a complete answer.
     Closed(String),
-    /// There was no answer within the budget and a second.
+    /// There was no answer within the budget.
     Nothing,
     /// No connection could be opened.
     NoConnection(String),
@@ -51,7 +51,7 @@
     };
     record.note(&format!("caller: sends {} {} {}", call.id, call.method, call.path));
     let began = Instant::now();
-    let deadline = began + call.budget + Duration::from_secs(1);
+    let deadline = began + call.budget;
     let received = connection.send(&message).and_then(|()| receive(connection, deadline, record));
     let seen = match received {
         Ok(Some(answer)) => {
--- a/review/standin/cases/interim.rs
+++ b/review/standin/cases/interim.rs
@@ -11,16 +11,18 @@
 use crate::{
     Rule,
     caller::{Call, Seen, call},
-    cases::{configuration, judge_unanswered},
+    cases::{check_share, configuration, judge_unanswered},
     endpoint::Trouble,
     record::Record,
     site::Site,
 };
 
-/// Timeout of the route, and time that callers wait.
+/// Timeout of the route.
 const TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time that callers wait, longer than the rule looks at.
+const BUDGET: Duration = Duration::from_millis(2_500);
 /// One answer in so many is spoilt, at one of the two endpoints of the service.
-const ONE_IN: u64 = 20;
+const ONE_IN: usize = 20;
 /// Bytes that are no answer.
 const BYTES: &str = "HTTP/1.1 101 Switching Protocols\r\n\r\n";
 /// Time for which the endpoint spoils answers.
@@ -35,7 +37,7 @@
     site.store.put("op", "config", &configuration(&routes));
     site.start_daemons()?;
     if trouble {
-        site.machines[1].endpoint.set_trouble(Trouble::OneIn(ONE_IN, BYTES));
+        site.machines[1].endpoint.spoil_one_in(ONE_IN, Trouble::Bytes(BYTES));
     }
     let to = site.machines[0].callers;
     let (sender, receiver) = mpsc::channel();
@@ -45,7 +47,7 @@
         while began.elapsed() < TRAFFIC {
             sent += 1;
             let (path, id) = ("/stock/work-20/a".to_owned(), format!("stock-{sent}"));
-            let request = Call { method: "GET", path, id, budget: TIMEOUT, body: Vec::new() };
+            let request = Call { method: "GET", path, id, budget: BUDGET, body: Vec::new() };
             let sender = sender.clone();
             scope.spawn(move || {
                 let began = Instant::now();
@@ -57,6 +59,7 @@
         }
     });
     drop(sender);
+    check_share(&site.machines[1].endpoint, record)?;
     let seen: Vec<(Seen, Duration)> = receiver.iter().collect();
     Ok(judge_unanswered(&seen, TIMEOUT, record))
 }
--- a/review/standin/cases/memory.rs
+++ b/review/standin/cases/memory.rs
@@ -9,13 +9,13 @@
         atomic::{AtomicBool, Ordering::SeqCst},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crate::{
     Rule,
     caller::{Call, Seen, call, call_on},
-    cases::configuration,
+    cases::{check_share, configuration},
     endpoint::Trouble,
     http::Connection,
     record::Record,
@@ -28,10 +28,15 @@
 const SLOTS: usize = 9;
 /// Timeout of the routes, and time that callers wait.
 const TIMEOUT_MS: u64 = 1_000;
+/// Time for which the endpoint in trouble answers soundly before, and the time between two requests
+/// for it: nine spoilt answers are less than one in twenty then.
+const SOUND_TIME: Duration = Duration::from_secs(3);
+const SOUND_INTERVAL: Duration = Duration::from_millis(12);
 /// Number of callers of the first machine that keep their connections.
 const CALLERS: usize = 8;
-/// Size of the long body; the configuration allows 67,108,864 bytes.
-const BODY_BYTES: usize = 60 * 1024 * 1024;
+/// Size of the long body; the configuration allows 67,108,864 bytes. It takes the link of 1,000 Mbit/s
+/// for less than half a second.
+const BODY_BYTES: usize = 58 * 1024 * 1024;
 /// Time for which callers send after the disruption began.
 const TRAFFIC: Duration = Duration::from_secs(3);
 /// Number of lost requests that the rule allows.
@@ -59,6 +64,7 @@
     let lost = Mutex::new(Vec::new());
     let machine = &site.machines[0];
     thread::scope(|scope| {
+        send_to_first_endpoint(site.machines[1].callers, record);
         for caller in 0..CALLERS {
             let (to, ended, lost) = (machine.callers, &ended, &lost);
             scope.spawn(move || send_on_kept_connection(to, caller, ended, lost, record));
@@ -71,6 +77,7 @@
         thread::sleep(TRAFFIC);
         ended.store(true, SeqCst);
     });
+    check_share(&machine.endpoint, record)?;
     let lost = lost.into_inner().unwrap_or_else(PoisonError::into_inner);
     Ok(judge(&site, &lost, record))
 }
@@ -80,6 +87,19 @@
     Call { method: "GET", path: path.to_owned(), id, budget, body: Vec::new() }
 }
 
+/// Sends requests for the endpoint beside the first daemon from another machine.
+fn send_to_first_endpoint(to: SocketAddr, record: &Record) {
+    let (began, mut sent) = (Instant::now(), 0);
+    thread::scope(|scope| {
+        while began.elapsed() < SOUND_TIME {
+            sent += 1;
+            let request = get("/desk/work-5/a", format!("sound-{sent}"));
+            scope.spawn(move || call(to, &request, record));
+            thread::sleep(SOUND_INTERVAL);
+        }
+    });
+}
+
 fn disturb(disruption: Disruption, machine: &Machine, record: &Record) {
     let to = machine.callers;
     match disruption {
@@ -90,7 +110,7 @@
             thread::spawn(move || call(to, &request, &record));
         }
         Disruption::EndlessAnswers => {
-            machine.endpoint.set_trouble(Trouble::EndlessBody);
+            machine.endpoint.spoil_next(SLOTS, Trouble::EndlessBody);
             for caller in 0..SLOTS {
                 let request = get("/desk/work-20/a", format!("desk-{caller}"));
                 let record = record.clone();
@@ -115,6 +135,8 @@
         sent += 1;
         let request = get("/stock/work-300/a", format!("stock-{caller}-{sent}"));
         match call_on(&mut connection, &request, record) {
+            // The daemon has said that it closes the connection.
+            Seen::Answer(..) if connection.closing => return,
             Seen::Answer(..) => {}
             Seen::Closed(_) => {
                 lost.lock().unwrap_or_else(PoisonError::into_inner).push(request.id);
--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -11,6 +11,7 @@
 use crate::{
     Rule,
     caller::{HOST, Seen},
+    endpoint::Endpoint,
     record::Record,
 };
 
@@ -56,6 +57,19 @@
     )
 }
 
+/// Greatest share of its answers that an endpoint spoils, as one in so many: `garble` in the site file.
+const SPOILT_ONE_IN: usize = 20;
+
+/// Checks that an endpoint has spoilt no greater share of its answers than the pages name.
+fn check_share(endpoint: &Endpoint, record: &Record) -> io::Result<()> {
+    let (spoilt, runs) = endpoint.spoilt();
+    record.note(&format!("{}: spoilt {spoilt} of {runs} answers", endpoint.id));
+    if spoilt * SPOILT_ONE_IN > runs {
+        return Err(io::Error::other("the endpoint spoilt too many answers"));
+    }
+    Ok(())
+}
+
 /// Time after the timeout at which the rule looks for an answer.
 const SLACK: Duration = Duration::from_millis(500);
 /// Fewest requests without an answer at their timeout that are judged.
--- a/review/standin/endpoint.rs
+++ b/review/standin/endpoint.rs
@@ -20,18 +20,28 @@
 pub const HEARTBEAT: Duration = Duration::from_millis(1_500);
 /// Interval at which a run looks whether its caller has gone.
 const LOOK: Duration = Duration::from_millis(10);
+/// Longest time for which bytes without end are sent; `garble` lasts for 5.5 s in the site file.
+const STREAM_TIME: Duration = Duration::from_secs(5);
 
-/// What an endpoint does with the requests that it runs.
+/// What an endpoint does in the place of an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Trouble {
-    /// Answers them.
-    None,
     /// Sends a head and then a body that does not end until the caller closes.
     EndlessBody,
-    /// Sends these bytes in the place of one in so many answers, and keeps the connection open.
-    OneIn(u64, &'static str),
     /// Sends bytes in the place of a head that do not end until the caller closes.
     EndlessHead(&'static str),
+    /// Sends these bytes and keeps the connection open.
+    Bytes(&'static str),
+}
+
+/// Which answers an endpoint spoils.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Spoils {
+    None,
+    /// So many of the next ones.
+    Next(usize, Trouble),
+    /// One in so many.
+    OneIn(usize, Trouble),
 }
 
 /// How a run went.
@@ -39,6 +49,8 @@
 pub enum End {
     Running,
     Answered,
+    /// The time that the caller gave it is over.
+    TimedOut,
     /// The caller closed the connection or the endpoint exited, so that it stopped work.
     Dropped,
     /// The endpoint sent bytes that are no answer, and waits for the next request.
@@ -63,9 +75,10 @@
 }
 
 struct State {
-    trouble: Trouble,
-    state: &'static str,
-    sends_heartbeats: bool,
+    spoils: Spoils,
+    spoilt: usize,
+    /// Whether it has sent its leave: it sends no check-ins then, and says so in its answers.
+    leaving: bool,
     runs: Vec<Run>,
 }
 
@@ -88,12 +101,7 @@
     pub fn start(id: &str, service: &str, slots: usize, record: &Record) -> io::Result<Endpoint> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let state = State {
-            trouble: Trouble::None,
-            state: "ready",
-            sends_heartbeats: true,
-            runs: Vec::new(),
-        };
+        let state = State { spoils: Spoils::None, spoilt: 0, leaving: false, runs: Vec::new() };
         let endpoint = Endpoint {
             id: id.to_owned(),
             service: service.to_owned(),
@@ -115,9 +123,22 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub fn set_trouble(&self, trouble: Trouble) {
-        self.record.note(&format!("{}: trouble {trouble:?}", self.id));
-        self.lock().trouble = trouble;
+    /// Spoils the next `count` answers.
+    pub fn spoil_next(&self, count: usize, trouble: Trouble) {
+        self.record.note(&format!("{}: spoils the next {count} answers: {trouble:?}", self.id));
+        self.lock().spoils = Spoils::Next(count, trouble);
+    }
+
+    /// Spoils one in `share` answers.
+    pub fn spoil_one_in(&self, share: usize, trouble: Trouble) {
+        self.record.note(&format!("{}: spoils one answer in {share}: {trouble:?}", self.id));
+        self.lock().spoils = Spoils::OneIn(share, trouble);
+    }
+
+    /// Returns how many answers it has spoilt, and how many requests it has run.
+    pub fn spoilt(&self) -> (usize, usize) {
+        let state = self.lock();
+        (state.spoilt, state.runs.len())
     }
 
     pub fn runs(&self) -> Vec<Run> {
@@ -134,28 +155,22 @@
         let endpoint = self.clone();
         thread::spawn(move || {
             loop {
-                let (on, state) = {
-                    let held = endpoint.lock();
-                    (held.sends_heartbeats, held.state)
-                };
-                if on {
-                    let check_in = endpoint.check_in(state);
-                    let sent = Instant::now();
-                    if endpoint.call(control, &check_in) != Some(200) {
-                        thread::sleep(Duration::from_millis(200));
-                        continue;
-                    }
+                if endpoint.lock().leaving {
+                    return;
+                }
+                let (sent, check_in) = (Instant::now(), endpoint.check_in("ready"));
+                if endpoint.call(control, &check_in) == Some(200) {
                     thread::sleep(HEARTBEAT.saturating_sub(sent.elapsed()));
                 } else {
-                    thread::sleep(LOOK);
+                    thread::sleep(Duration::from_millis(200));
                 }
             }
         });
     }
 
-    /// Stops the regular check-ins, as an endpoint does that has sent its leave.
-    pub fn stop_heartbeats(&self) {
-        self.lock().sends_heartbeats = false;
+    /// Begins to leave: there are no further check-ins, and all answers say so.
+    pub fn begin_leave(&self) {
+        self.lock().leaving = true;
     }
 
     /// Exits: requests that run end, and no further one is read.
@@ -216,58 +231,68 @@
     /// Runs a request.
     fn answer(&self, connection: &mut Connection, request: &Message) -> Reply {
         let request_id = request.header("request-id").unwrap_or("").to_owned();
+        let mut headers = vec![("Request-Id".to_owned(), request_id.clone())];
+        if self.lock().leaving {
+            headers.push(("Server-Leaving".to_owned(), "1".to_owned()));
+        }
         if request.header("target-instance").is_some_and(|it| it != self.id) {
-            let id = ("Instance-Id".to_owned(), self.id.clone());
-            return Reply::Answer(message("421 Misdirected Request", vec![id], ""));
+            headers.push(("Instance-Id".to_owned(), self.id.clone()));
+            return Reply::Answer(message("421 Misdirected Request", headers, ""));
         }
         if self.busy.fetch_add(1, SeqCst) >= self.slots {
             self.busy.fetch_sub(1, SeqCst);
-            let headers = vec![
-                ("Not-Executed".to_owned(), "1".to_owned()),
-                ("Request-Id".to_owned(), request_id),
-            ];
+            headers.push(("Not-Executed".to_owned(), "1".to_owned()));
             return Reply::Answer(message("503 Service Unavailable", headers, ""));
         }
-        let index = self.begin(&request_id, request);
-        let trouble = self.lock().trouble;
+        let (index, trouble) = self.begin(&request_id, request);
         let end = match trouble {
-            Trouble::None => self.work(connection, request),
-            Trouble::EndlessBody => {
+            None => self.work(connection, request),
+            Some(Trouble::EndlessBody) => {
                 let head = format!(
                     "HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nContent-Type: text/plain\r\n\r\n"
                 );
                 stream_without_end(connection, &head, "the server's bytes ")
             }
-            Trouble::OneIn(share, bytes) if (index as u64 + 1).is_multiple_of(share) => {
+            Some(Trouble::EndlessHead(piece)) => stream_without_end(connection, "", piece),
+            Some(Trouble::Bytes(bytes)) => {
                 self.work(connection, request);
                 connection.stream.write_all(bytes.as_bytes()).ok();
-                self.record
-                    .note(&format!("{}: sends bytes that are no answer to {request_id}", self.id));
                 End::Spoilt
             }
-            Trouble::OneIn(..) => self.work(connection, request),
-            Trouble::EndlessHead(piece) => stream_without_end(connection, "", piece),
         };
         self.busy.fetch_sub(1, SeqCst);
         self.finish(index, &request_id, end);
-        let headers = vec![
-            ("Request-Id".to_owned(), request_id.clone()),
-            ("Response-Signature".to_owned(), format!("{}.{request_id}", self.id)),
-        ];
+        let signature = format!("{}.{request_id}", self.id);
+        headers.push(("Response-Signature".to_owned(), signature));
         match end {
             End::Answered => Reply::Answer(message("200 OK", headers, "the server's bytes")),
+            End::TimedOut => Reply::Answer(message("504 Gateway Timeout", headers, "")),
             End::Spoilt => Reply::Sent,
             End::Running | End::Dropped => Reply::Close,
         }
     }
 
-    fn begin(&self, id: &str, request: &Message) -> usize {
-        let left = request.header("deadline-ms").unwrap_or("-");
-        self.record.note(&format!("{}: runs {id} {} for {left} ms", self.id, request.target()));
+    /// Records the start of a run; returns its number and what it has in the place of an answer.
+    fn begin(&self, id: &str, request: &Message) -> (usize, Option<Trouble>) {
         let mut state = self.lock();
         let (began, ended) = (Instant::now(), None);
         state.runs.push(Run { id: id.to_owned(), began, ended, end: End::Running });
-        state.runs.len() - 1
+        let trouble = match state.spoils {
+            Spoils::Next(left, trouble) if left > 0 => {
+                state.spoils = Spoils::Next(left - 1, trouble);
+                Some(trouble)
+            }
+            Spoils::OneIn(share, trouble) if state.runs.len().is_multiple_of(share) => {
+                Some(trouble)
+            }
+            _ => None,
+        };
+        state.spoilt += usize::from(trouble.is_some());
+        let left = request.header("deadline-ms").unwrap_or("-");
+        let spoilt = if trouble.is_some() { ", spoils the answer" } else { "" };
+        let line = format!("{}: runs {id} {} for {left} ms{spoilt}", self.id, request.target());
+        self.record.note(&line);
+        (state.runs.len() - 1, trouble)
     }
 
     fn finish(&self, index: usize, id: &str, end: End) {
@@ -276,18 +301,21 @@
         (state.runs[index].end, state.runs[index].ended) = (end, Some(Instant::now()));
     }
 
-    /// Works for the time that the path states (`work-MS`), until its caller has gone or it exits.
+    /// Works for the time that the path states (`work-MS`), for as long as the caller gave it, until its
+    /// caller has gone or it exits.
     fn work(&self, connection: &Connection, request: &Message) -> End {
         let part = request.target().split('/').find_map(|it| it.strip_prefix("work-"));
         let time = Duration::from_millis(part.and_then(|it| it.parse().ok()).unwrap_or(5));
-        let until = Instant::now() + time;
+        let allowed = request.header("deadline-ms").and_then(|it| it.parse().ok());
+        let allowed = allowed.map_or(time, Duration::from_millis);
+        let until = Instant::now() + time.min(allowed);
         while Instant::now() < until {
             thread::sleep(LOOK.min(until.saturating_duration_since(Instant::now())));
             if connection.is_closed() || self.exited.load(SeqCst) {
                 return End::Dropped;
             }
         }
-        End::Answered
+        if time > allowed { End::TimedOut } else { End::Answered }
     }
 }
 
@@ -295,14 +323,14 @@
     Message { start: format!("HTTP/1.1 {status}"), headers, body: body.as_bytes().to_vec() }
 }
 
-/// Sends `head`, and `piece` again and again until the caller closes, 30 s at most.
+/// Sends `head`, and `piece` again and again until the caller closes, for `STREAM_TIME` at most.
 fn stream_without_end(connection: &mut Connection, head: &str, piece: &str) -> End {
     let began = Instant::now();
     let bytes = piece.repeat((64 * 1024 / piece.len()).max(1));
     let stream = &mut connection.stream;
-    stream.set_write_timeout(Some(Duration::from_secs(10))).ok();
+    stream.set_write_timeout(Some(STREAM_TIME)).ok();
     let mut sent = stream.write_all(head.as_bytes());
-    while sent.is_ok() && began.elapsed() < Duration::from_secs(30) {
+    while sent.is_ok() && began.elapsed() < STREAM_TIME {
         sent = stream.write_all(bytes.as_bytes());
     }
     End::Dropped
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -48,12 +48,14 @@
 pub struct Connection {
     pub stream: TcpStream,
     rest: Vec<u8>,
+    /// Whether the peer has said that it closes the connection.
+    pub closing: bool,
 }
 
 impl Connection {
     pub fn new(stream: TcpStream) -> Connection {
         stream.set_nodelay(true).ok();
-        Connection { stream, rest: Vec::new() }
+        Connection { stream, rest: Vec::new(), closing: false }
     }
 
     /// Opens a connection within a second, as callers do.
@@ -100,6 +102,7 @@
             }
         }
         message.body = self.rest.drain(..length).collect();
+        self.closing |= message.closes();
         Ok(Some(message))
     }
 
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,7 +1,7 @@
-//! Stand-ins of the review's cases, and the cases themselves: `standin CASE FOLDER`.
+//! Stand-ins of the review's cases, and the cases themselves: `standin CASE FOLDER TROUBLE`.
 //!
 //! The record goes to `record.txt` in the folder. The exit status is 1 if the rule was broken, 0 if
-//! it held and 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
+//! it held and 2 if the case could not run. `0` for TROUBLE leaves the disruption out.
 
 mod caller;
 mod cases;
@@ -30,10 +30,11 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
-    let (Some(name), Some(folder)) = (arguments.get(1), arguments.get(2)) else {
-        eprintln!("usage: standin CASE FOLDER");
+    let [_, name, folder, trouble] = arguments.as_slice() else {
+        eprintln!("usage: standin CASE FOLDER TROUBLE");
         return ExitCode::from(NOT_RUN);
     };
+    let trouble = trouble != "0";
     let record = match Record::create(&Path::new(folder).join("record.txt")) {
         Ok(record) => record,
         Err(error) => {
@@ -41,7 +42,6 @@
             return ExitCode::from(NOT_RUN);
         }
     };
-    let trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
     record.note(&format!("case {name}, {} disruption", if trouble { "with" } else { "without" }));
     end_at_limit(&record);
     let result = match cases::run(name, trouble, &record) {
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -208,10 +208,10 @@
         matches!(ask(), Ok(Some(answer)) if answer.status() == 200)
     }
 
-    /// Returns the resident memory of the daemon in megabytes.
+    /// Returns the memory of the daemon in MiB, without the pages of files.
     pub fn memory_mb(&self) -> Option<f64> {
         let text = fs::read_to_string(format!("/proc/{}/status", self.pid()?)).ok()?;
-        let line = text.lines().find(|it| it.starts_with("VmRSS:"))?;
+        let line = text.lines().find(|it| it.starts_with("RssAnon:"))?;
         let kilobytes: f64 = line.split_whitespace().nth(1)?.parse().ok()?;
         Some(kilobytes / 1_024.0)
     }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -15,6 +15,8 @@
 
 /// Time that a transaction takes, as in the settings of the sites.
 const TX_TIME: Duration = Duration::from_millis(8);
+/// Most rows of a page.
+const PAGE_ROWS: usize = 500;
 
 #[derive(Default)]
 struct State {
@@ -122,17 +124,18 @@
 
     fn read(&self, query: &str) -> (u16, String) {
         let (table, from) = (parameter(query, "table"), parameter(query, "from"));
-        let limit = parameter(query, "limit").parse().unwrap_or(500);
+        let limit = parameter(query, "limit").parse().unwrap_or(PAGE_ROWS).min(PAGE_ROWS);
         let state = self.lock();
         let found = state
             .rows
             .iter()
             .filter(|(place, row)| place.0 == table && place.1 >= from && row.1.is_some());
-        let rows: Vec<String> = found
-            .take(limit)
+        let mut rows: Vec<String> = found
             .map(|(place, row)| row_json(&place.0, &place.1, row.0, row.1.as_deref()))
             .collect();
-        (200, self.page(&rows, state.version))
+        let more = rows.len() > limit;
+        rows.truncate(limit);
+        (200, self.page(&rows, more, state.version))
     }
 
     fn feed(&self, query: &str) -> (u16, String) {
@@ -154,16 +157,16 @@
                     .iter()
                     .map(|(place, row)| row_json(&place.0, &place.1, row.0, row.1.as_deref()))
                     .collect();
-                return (200, self.page(&rows, state.version));
+                return (200, self.page(&rows, false, state.version));
             }
             state =
                 self.state.1.wait_timeout(state, left).unwrap_or_else(PoisonError::into_inner).0;
         }
     }
 
-    fn page(&self, rows: &[String], version: u64) -> String {
+    fn page(&self, rows: &[String], more: bool, version: u64) -> String {
         let (rows, now) = (rows.join(","), self.now());
-        format!("{{\"rows\":[{rows}],\"has_more\":false,\"ver\":{version},\"now\":\"{now}\"}}")
+        format!("{{\"rows\":[{rows}],\"has_more\":{more},\"ver\":{version},\"now\":\"{now}\"}}")
     }
 
     fn now(&self) -> String {
