Hold the bytes of peers in one budget of memory

Cause: each response was limited to 16 MiB by itself, and nothing limited them together; the daemon did not know the memory of its VM. Evidence: nine endless responses at once brought the former daemon to 136,376 KiB of anonymous memory, a single one is cut at its limit.

Request and response bodies, and what is read ahead on a connection, now reserve memory in one budget before they are read. Its size follows from the new setting memory_mb. What does not fit stays in the socket; long messages get memory in the order of their arrival, short ones keep a part for themselves, and a response of unknown length that holds much is given up when it can't grow, so that endless ones never wait for each other. Bodies are held in pieces of 32 KiB, since blocks of the size of bodies stay with the allocator after they were freed.

The test endless_answers_together_exceed_the_memory failed before the change with 136,376 of 85,937 KiB, and passes.

--- a/crates/fleet/src/request_key.rs
+++ b/crates/fleet/src/request_key.rs
@@ -16,19 +16,23 @@
 
 impl RequestKey {
     /// Computes the key of a request.
-    pub fn new(
+    ///
+    /// `body` is given in pieces; how it is divided does not matter.
+    pub fn new<'a>(
         caller: &ServiceName,
         method: &str,
         host: &str,
         target: &str,
-        body: &[u8],
+        body: impl Iterator<Item = &'a [u8]> + Clone,
     ) -> RequestKey {
         let mut hasher = Xxh3::new();
         for part in [caller.as_str().as_bytes(), method.as_bytes(), host.as_bytes()] {
             update(&mut hasher, part);
         }
         update(&mut hasher, target.as_bytes());
-        update(&mut hasher, body);
+        let length: usize = body.clone().map(<[u8]>::len).sum();
+        hasher.update(&(length as u64).to_le_bytes());
+        body.for_each(|it| hasher.update(it));
         RequestKey(hasher.digest())
     }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -3,19 +3,25 @@
 //!
 //! Bodies are read and written whole, and their length is checked against `Content-Length`.
 
+mod body;
 mod connection;
 mod error;
 mod exchange;
 mod guard;
+mod memory;
 mod pipeline;
 mod pool;
 mod serve;
 mod stream;
 
+pub use body::{Body, BodyBuffer, PIECE_BYTES};
 pub use connection::RawConnection;
 pub use error::Error;
 pub use exchange::Answer;
 pub use guard::{ConnectionGuard, spawn_connection};
+pub use memory::{
+    BudgetSettings, Growth, Kind, Ledger, MemoryBudget, NoMemory, Reservation, SHORT_BYTES, Ticket,
+};
 pub use pipeline::{
     Application, ConnectionLimits, ParseError, ParseProgress, ParsedRequest, Parser, SizeLimits,
     serve_pipelined,
--- a/crates/http/src/pipeline/mod.rs
+++ b/crates/http/src/pipeline/mod.rs
@@ -17,11 +17,16 @@
 };
 
 use async_std::{future::timeout, net::TcpStream, task};
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use futures_util::{StreamExt, stream::FuturesOrdered};
 use http::{Method, Request, Response, request};
 
+use crate::{
+    body::Body,
+    memory::{Kind, MemoryBudget, Reservation},
+};
+
 pub use parse::{ParseError, ParseProgress, ParsedRequest, Parser, SizeLimits};
 
 /// Most requests of one connection in progress at once. Further ones wait in the socket.
@@ -38,6 +43,9 @@
 /// Interval at which a connection that is not being read is checked for a close by the client.
 const CLOSE_POLL: Duration = Duration::from_millis(100);
 
+/// Longest wait of a request for memory, after which it is refused as not run.
+const MEMORY_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Limits of one connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConnectionLimits {
@@ -61,10 +69,13 @@
     fn allows_parallel(&self, head: &request::Parts) -> bool;
 
     /// Answers a request.
-    fn call(&self, request: Request<Bytes>) -> impl Future<Output = Response<Bytes>> + Send;
+    fn call(&self, request: Request<Body>) -> impl Future<Output = Response<Body>> + Send;
 
     /// Returns the response to bytes that can't be parsed as a request.
-    fn malformed(&self, error: ParseError) -> Response<Bytes>;
+    fn malformed(&self, error: ParseError) -> Response<Body>;
+
+    /// Returns the budget of the memory for requests.
+    fn memory(&self) -> &MemoryBudget;
 }
 
 /// Outcome of one step of a connection.
@@ -79,7 +90,7 @@
 
 /// A response and what its request requires of the encoding.
 struct Answer {
-    response: Response<Bytes>,
+    response: Response<Body>,
     head_only: bool,
     close: bool,
 }
@@ -91,12 +102,14 @@
     stream: &'a TcpStream,
     bytes: BytesMut,
     parser: Parser,
+    /// Memory of the request that is arriving, and of what was read ahead.
+    reservation: Reservation,
     running: Running<'a>,
     /// Completed responses that are due to be written, in order.
     ready: VecDeque<Answer>,
     /// Complete request that may not run in parallel with those in progress, and whether it closes
     /// the connection.
-    waiting: Option<(Request<Bytes>, bool)>,
+    waiting: Option<(Request<Body>, bool)>,
     /// Whether the requests in progress may run in parallel with others.
     parallel: bool,
     /// Whether no further request is accepted.
@@ -121,6 +134,7 @@
         stream: &stream,
         bytes: BytesMut::new(),
         parser: Parser::default(),
+        reservation: application.memory().open(Kind::Request),
         running: FuturesOrdered::new(),
         ready: VecDeque::new(),
         waiting: None,
@@ -160,13 +174,14 @@
         if self.running.len() + self.ready.len() >= MAX_IN_PROGRESS {
             return false;
         }
+        let sizes = self.sizes();
         let (request, close) = match self.waiting.take() {
             Some(waiting) => waiting,
             None if self.draining => return false,
-            None => match self.parser.next(&mut self.bytes, self.application.limits().sizes) {
+            None => match self.parser.next(&mut self.bytes, sizes) {
                 Ok(ParseProgress::Complete(parsed)) => {
                     self.wait_start = Instant::now();
-                    (parsed.request, parsed.close)
+                    (self.attach_memory(parsed.request), parsed.close)
                 }
                 Ok(ParseProgress::Partial) => return false,
                 Ok(ParseProgress::Continue) => {
@@ -198,6 +213,27 @@
         true
     }
 
+    /// Returns the size limits, as far as the memory of the process allows them.
+    fn sizes(&self) -> SizeLimits {
+        let sizes = self.application.limits().sizes;
+        SizeLimits { body: sizes.body.min(self.application.memory().longest_request()), ..sizes }
+    }
+
+    /// Hands the memory of a complete request over to its body.
+    fn attach_memory(&mut self, request: Request<Body>) -> Request<Body> {
+        let mut next = self.application.memory().open(Kind::Request);
+        // What was read ahead was part of the memory of the request, so there is room for it as a
+        // rule; otherwise the next read waits for room.
+        let rest = self.bytes.len();
+        if request.body().is_empty() {
+            return request;
+        }
+        self.reservation.shrink(request.body().len());
+        next.try_grow(rest);
+        let reservation = std::mem::replace(&mut self.reservation, next);
+        request.map(|it| it.holding(reservation))
+    }
+
     /// Queues the response to malformed bytes behind the requests in progress.
     fn reject(&mut self, error: ParseError) {
         self.draining = true;
@@ -214,13 +250,16 @@
         let is_last = self.is_idle();
         let interim = answer.response.status().is_informational();
         let close = !interim && (answer.close || (self.draining && is_last));
-        let bytes = write::encode(&answer.response, answer.head_only, close);
+        let mut encoded = write::encode(answer.response, answer.head_only, close);
         let running = &mut self.running;
         let ready = &mut self.ready;
         let mut stream = self.stream;
         let write = async {
-            stream.write_all(&bytes.head).await?;
-            stream.write_all(&bytes.body).await
+            stream.write_all(&encoded.head).await?;
+            while let Some(piece) = encoded.body.next_piece() {
+                stream.write_all(&piece).await?;
+            }
+            Ok::<_, io::Error>(())
         };
         let progress = async {
             while let Some(next) = running.next().await {
@@ -245,6 +284,7 @@
         enum Event {
             Answered(Answer),
             Read(usize),
+            NoMemory,
             Expired,
             Stopped,
         }
@@ -256,6 +296,8 @@
         let full = self.bytes.len() >= READ_AHEAD_BYTES && busy;
         let before = self.bytes.len();
         let read_size = if self.parser.in_body() { BODY_READ_BYTES } else { HEAD_READ_BYTES };
+        let needed = before + read_size + self.parser.body_length();
+        let reservation = &mut self.reservation;
         let draining = self.draining;
         let running = &mut self.running;
         let bytes = &mut self.bytes;
@@ -271,6 +313,9 @@
                 closed(stream).await;
                 return Ok(Event::Read(0));
             }
+            if !matches!(timeout(MEMORY_TIMEOUT, reservation.grow(needed)).await, Ok(Ok(()))) {
+                return Ok(Event::NoMemory);
+            }
             bytes.resize(before + read_size, 0);
             stream.read(&mut bytes[before..]).await.map(Event::Read)
         };
@@ -300,6 +345,7 @@
                     self.wait_start = Instant::now();
                 }
             }
+            Event::NoMemory => self.reject(ParseError::NoMemory),
             Event::Stopped => self.draining = true,
             Event::Expired => return Ok(Step::Closed),
         }
--- a/crates/http/src/pipeline/parse.rs
+++ b/crates/http/src/pipeline/parse.rs
@@ -1,11 +1,13 @@
 //! Request parser: heads are parsed by httparse, bodies by length or in chunks.
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Buf, BytesMut};
 use http::{
     HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, Version,
     header::{CONNECTION, CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING},
 };
 
+use crate::body::{Body, BodyBuffer};
+
 /// Most headers of one request, and most trailers.
 const MAX_HEADERS: usize = 100;
 /// Longest chunk-size line, including extensions, in bytes.
@@ -23,6 +25,9 @@
     /// The body exceeds the limit.
     #[error("request body exceeds the limit")]
     BodyTooLarge,
+    /// No memory is left for the request.
+    #[error("no memory is left for the request")]
+    NoMemory,
 }
 
 /// Size limits of one request in bytes.
@@ -38,7 +43,7 @@
 #[derive(Debug)]
 pub struct ParsedRequest {
     /// The request.
-    pub request: Request<Bytes>,
+    pub request: Request<Body>,
     /// Whether the connection closes after its response.
     pub close: bool,
 }
@@ -73,7 +78,7 @@
     head: Request<()>,
     close: bool,
     body: BodyState,
-    content: BytesMut,
+    content: BodyBuffer,
 }
 
 /// Incremental parser of the requests of one connection.
@@ -90,6 +95,14 @@
         self.partial.is_some()
     }
 
+    /// Returns the length in bytes that the arriving body is known to have, at least.
+    pub fn body_length(&self) -> usize {
+        self.partial.as_ref().map_or(0, |it| match it.body {
+            BodyState::Sized(left) | BodyState::Chunk(left) => it.content.len() + left,
+            BodyState::ChunkSize | BodyState::Trailers => it.content.len(),
+        })
+    }
+
     /// Removes the next request from `bytes`.
     ///
     /// # Errors
@@ -122,7 +135,7 @@
             return Ok(ParseProgress::Partial);
         }
         let PartialRequest { head, close, content, .. } = partial;
-        let request = head.map(|()| content.freeze());
+        let request = head.map(|()| content.finish());
         Ok(ParseProgress::Complete(Box::new(ParsedRequest { request, close })))
     }
 
@@ -191,7 +204,7 @@
         let close =
             lists_option(&headers, "close") || (http_10 && !lists_option(&headers, "keep-alive"));
         *head.headers_mut() = headers;
-        Ok(PartialRequest { head, close, body, content: BytesMut::new() })
+        Ok(PartialRequest { head, close, body, content: BodyBuffer::default() })
     }
 
     /// Removes the body from `bytes` as far as it has arrived. Returns whether it is complete.
@@ -200,7 +213,7 @@
             match self.body {
                 BodyState::Sized(left) => {
                     let part = left.min(bytes.len());
-                    self.content.unsplit(bytes.split_to(part));
+                    self.content.extend(&bytes.split_to(part));
                     self.body = BodyState::Sized(left - part);
                     return Ok(left == part);
                 }
@@ -227,7 +240,7 @@
                     if part == 0 {
                         return Ok(false);
                     }
-                    self.content.extend_from_slice(&bytes.split_to(part));
+                    self.content.extend(&bytes.split_to(part));
                     self.body = BodyState::Chunk(left - part);
                 }
                 BodyState::Trailers => return take_trailers(bytes, sizes),
--- a/crates/http/tests/suite/pipeline.rs
+++ b/crates/http/tests/suite/pipeline.rs
@@ -19,7 +19,8 @@
 use http::{Request, Response, StatusCode, request};
 use proptest::prelude::*;
 use shallottack_http::{
-    Application, ConnectionLimits, ParseError, ParseProgress, Parser, SizeLimits, serve_pipelined,
+    Application, Body, ConnectionLimits, MemoryBudget, ParseError, ParseProgress, Parser,
+    SizeLimits, serve_pipelined,
 };
 
 use crate::peer::TEST_TIMEOUT;
@@ -32,6 +33,7 @@
     running: AtomicUsize,
     max_running: AtomicUsize,
     completed: AtomicUsize,
+    memory: MemoryBudget,
 }
 
 /// Counts a request as running until dropped.
@@ -57,7 +59,7 @@
         head.method == http::Method::GET
     }
 
-    async fn call(&self, request: Request<Bytes>) -> Response<Bytes> {
+    async fn call(&self, request: Request<Body>) -> Response<Body> {
         let running = self.running.fetch_add(1, SeqCst) + 1;
         self.max_running.fetch_max(running, SeqCst);
         let _guard = RunGuard(self);
@@ -65,18 +67,23 @@
         let wait = path.trim_start_matches('/').parse().unwrap_or(0);
         task::sleep(Duration::from_millis(wait)).await;
         self.completed.fetch_add(1, SeqCst);
-        Response::new(Bytes::from([path.as_bytes(), request.body()].concat()))
+        Response::new(Bytes::from([path.as_bytes(), &request.body().to_bytes()].concat()).into())
     }
 
-    fn malformed(&self, error: ParseError) -> Response<Bytes> {
-        let mut response = Response::new(Bytes::new());
+    fn malformed(&self, error: ParseError) -> Response<Body> {
+        let mut response = Response::new(Body::default());
         *response.status_mut() = match error {
             ParseError::Syntax => StatusCode::BAD_REQUEST,
             ParseError::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             ParseError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            ParseError::NoMemory => StatusCode::TOO_MANY_REQUESTS,
         };
         response
     }
+
+    fn memory(&self) -> &MemoryBudget {
+        &self.memory
+    }
 }
 
 async fn open() -> (Arc<PathEcho>, TcpStream) {
@@ -238,7 +245,7 @@
             rest = behind;
             buffer.extend_from_slice(part);
             while let ParseProgress::Complete(parsed) = parser.next(&mut buffer, SIZES).unwrap() {
-                found.push(parsed.request.into_body().to_vec());
+                found.push(parsed.request.into_body().to_bytes().to_vec());
             }
             if rest.is_empty() {
                 break;
--- a/crates/shallottackd/tests/suite/fleet.rs
+++ b/crates/shallottackd/tests/suite/fleet.rs
@@ -1,6 +1,7 @@
 //! A fleet of daemons as separate processes, with stand-ins for the store and backend servers.
 
 mod crashing;
+mod memory;
 mod odd_entries;
 mod responses;
 mod restored;
@@ -132,6 +133,13 @@
         value.map_or(0, |it| it as u64)
     }
 
+    /// Returns the memory of the process without pages of files, in KiB.
+    fn anonymous_memory(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|it| it.starts_with("RssAnon:")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    }
+
     /// Returns the peak of the resident memory in KiB.
     fn peak_memory(&self) -> u64 {
         let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -8,12 +8,14 @@
 };
 
 use async_std::{future::timeout, net::TcpStream};
-use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
+use hyper::body::Body as _;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use shallottack_fleet::RateLimit;
-use shallottack_http::{ConnectionGuard, spawn_connection};
+use shallottack_http::{
+    Body, BodyBuffer, ConnectionGuard, Kind, MemoryBudget, Reservation, spawn_connection,
+};
 use shallottack_kernel::EndpointId;
 use shallottack_site::headers;
 use smallvec::SmallVec;
@@ -33,6 +35,8 @@
 const RESPONSE_SLACK: Duration = Duration::from_millis(30);
 /// Largest response body in bytes; bodies are buffered in memory.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+/// Largest head of a response, and largest read, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Number of refusals after which a connection is not reused, so that the list of them stays short.
 const MAX_REFUSED: usize = 64;
 /// How long connections are not reused for non-idempotent requests after the backend server sent
@@ -50,7 +54,7 @@
     /// Headers, without those that this module sets.
     pub headers: HeaderMap,
     /// Complete body.
-    pub body: Bytes,
+    pub body: Body,
     /// Time left until the deadline.
     pub left: Duration,
     /// The only backend server that may run the request.
@@ -84,7 +88,7 @@
     /// Headers to forward, without hop-by-hop headers.
     pub headers: HeaderMap,
     /// Complete body.
-    pub body: Bytes,
+    pub body: Body,
     /// What the backend server states about itself.
     pub notice: Notice,
 }
@@ -105,7 +109,7 @@
 }
 
 struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Body>,
     /// Number of requests sent before the current one.
     served: u32,
     /// Identifiers of the requests that were refused on it.
@@ -123,6 +127,8 @@
 /// Client of the backend server with a pool of idle connections.
 pub struct BackendClient {
     address: SocketAddr,
+    /// Budget of the memory for responses.
+    memory: MemoryBudget,
     idle: Mutex<Vec<IdleConnection>>,
     /// When the backend server last sent bytes that belong to no request.
     desynced_at: Mutex<Option<Instant>>,
@@ -130,8 +136,9 @@
 
 impl BackendClient {
     /// Creates a client without connections.
-    pub fn new(address: SocketAddr) -> BackendClient {
-        BackendClient { address, idle: Mutex::default(), desynced_at: Mutex::default() }
+    pub fn new(address: SocketAddr, memory: MemoryBudget) -> BackendClient {
+        let (idle, desynced_at) = (Mutex::default(), Mutex::default());
+        BackendClient { address, memory, idle, desynced_at }
     }
 
     /// Sends a request and returns its outcome.
@@ -158,7 +165,10 @@
             let left = within.saturating_sub(started.elapsed());
             let exchange = async {
                 match connection.sender.try_send_request(request).await {
-                    Ok(response) => Ok(read_response(response).await),
+                    Ok(response) => {
+                        let reservation = self.memory.open(Kind::Response);
+                        Ok(read_response(response, reservation).await)
+                    }
                     Err(mut error) => match error.take_message() {
                         // The connection was already closed, so nothing was sent.
                         Some(unsent) => Err(unsent),
@@ -233,7 +243,11 @@
         let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await;
         let stream = connecting.map_err(|it| it.to_string())?.map_err(|it| it.to_string())?;
         stream.set_nodelay(true).map_err(|it| it.to_string())?;
-        let handshake = Builder::new().handshake(FuturesIo::new(stream)).await;
+        let handshake = Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .writev(true)
+            .handshake(FuturesIo::new(stream))
+            .await;
         let (sender, connection) = handshake.map_err(|it| it.to_string())?;
         metrics::counter!("shallottack_backend_connections_total").increment(1);
         Ok(Connection {
@@ -290,13 +304,10 @@
     }
 }
 
-fn build_request(
-    outgoing: BackendRequest,
-    address: SocketAddr,
-) -> Result<Request<Full<Bytes>>, String> {
+fn build_request(outgoing: BackendRequest, address: SocketAddr) -> Result<Request<Body>, String> {
     let length = outgoing.body.len();
     let sends_body = length > 0 || outgoing.method == Method::POST;
-    let mut request = Request::new(Full::new(outgoing.body));
+    let mut request = Request::new(outgoing.body);
     *request.method_mut() = outgoing.method;
     *request.uri_mut() = outgoing.target.parse().map_err(|it| format!("{it}"))?;
     let request_headers = request.headers_mut();
@@ -320,6 +331,7 @@
 /// Also returns how long its connection may stay idle, zero if it must not be reused.
 async fn read_response(
     response: http::Response<hyper::body::Incoming>,
+    reservation: Reservation,
 ) -> Result<(BackendResponse, Duration), String> {
     let (mut head, body) = response.into_parts();
     let closes = head.headers.get_all(header::CONNECTION).iter().any(|it| {
@@ -330,7 +342,7 @@
         Some(stated) => stated.mul_f64(IDLE_FRACTION),
         None => DEFAULT_IDLE_TIMEOUT,
     };
-    let body = read_body(body).await?;
+    let body = read_body(body, reservation).await?;
     let notice = Notice {
         rate_limit: headers::rate_limit(&head.headers),
         leaving: headers::leaving(&head.headers),
@@ -339,16 +351,30 @@
     Ok((BackendResponse { status: head.status, headers: head.headers, body, notice }, idle))
 }
 
-/// Reads a complete body into one contiguous buffer, since retaining many small chunks takes
-/// several times their size.
-async fn read_body(mut body: hyper::body::Incoming) -> Result<Bytes, String> {
-    let mut bytes = BytesMut::new();
+/// Reads a complete body, as far as there is memory for it.
+///
+/// The memory for a body of known length is reserved before any of it is read, so that it does not
+/// have to be given up halfway.
+async fn read_body(
+    mut body: hyper::body::Incoming,
+    mut reservation: Reservation,
+) -> Result<Body, String> {
+    let mut bytes = BodyBuffer::default();
+    let stated = body.size_hint().exact().unwrap_or(0);
+    if stated > MAX_BODY_BYTES as u64 {
+        return Err(format!("response body of {stated} bytes exceeds {MAX_BODY_BYTES} bytes"));
+    }
+    reservation.grow(stated as usize).await.map_err(|it| it.to_string())?;
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|it| it.to_string())?.into_data() else { continue };
-        if bytes.len() + data.len() > MAX_BODY_BYTES {
+        let length = bytes.len() + data.len();
+        if length > MAX_BODY_BYTES {
             return Err(format!("response body exceeds {MAX_BODY_BYTES} bytes"));
         }
-        bytes.extend_from_slice(&data);
+        if length > stated as usize {
+            reservation.grow(length).await.map_err(|it| it.to_string())?;
+        }
+        bytes.extend(&data);
     }
-    Ok(bytes.freeze())
+    Ok(bytes.finish().holding(reservation))
 }
--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -2,14 +2,14 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request};
 use shallottack_fleet::{
     CallOrigin, Choice, Configuration, Match, Next, Outcome, PlacementRequest, RateLimit,
     RepeatCause, RequestKey, Route, SendHistory, Server, TaskId, VersionFilter,
 };
 use shallottack_http::{
-    Application, ConnectionLimits, ERROR_HEADER, ParseError, RUN_HEADER, SizeLimits,
+    Application, Body, ConnectionLimits, ERROR_HEADER, MemoryBudget, ParseError, RUN_HEADER,
+    SizeLimits,
 };
 use shallottack_kernel::{EndpointId, ErrorKind, Run, ServiceName, Time};
 use shallottack_rpc::PeerError;
@@ -29,6 +29,9 @@
 /// `Retry-After` of a daemon without a configuration; a healthy store answers within
 /// milliseconds.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// `Retry-After` of a request for which no memory was free; most of those that hold it have ended by
+/// then.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Time after the deadline in which the daemon beside the backend server can still report the
 /// outcome.
 const REPLY_SLACK: Duration = Duration::from_millis(60);
@@ -56,7 +59,7 @@
     method: String,
     target: String,
     headers: Vec<(String, Vec<u8>)>,
-    body: Bytes,
+    body: Body,
     /// Version of the configuration that routed the request.
     config: u64,
 }
@@ -73,7 +76,7 @@
 struct CompleteResponse {
     status: u16,
     headers: HeaderMap,
-    body: Bytes,
+    body: Body,
 }
 
 /// Daemon and backend server that a request is sent to.
@@ -113,19 +116,24 @@
         }
     }
 
-    async fn call(&self, request: Request<Bytes>) -> Response<Bytes> {
+    async fn call(&self, request: Request<Body>) -> Response<Body> {
         let _progress = InProgressGuard::new(&self.0);
         handle_request(&self.0, request).await
     }
 
-    fn malformed(&self, error: ParseError) -> Response<Bytes> {
-        let kind = match error {
-            ParseError::Syntax => ErrorKind::BadRequest,
-            ParseError::HeadTooLarge => ErrorKind::HeaderTooLarge,
-            ParseError::BodyTooLarge => ErrorKind::TooLarge,
+    fn malformed(&self, error: ParseError) -> Response<Body> {
+        let (kind, retry_after) = match error {
+            ParseError::Syntax => (ErrorKind::BadRequest, Duration::ZERO),
+            ParseError::HeadTooLarge => (ErrorKind::HeaderTooLarge, Duration::ZERO),
+            ParseError::BodyTooLarge => (ErrorKind::TooLarge, Duration::ZERO),
+            ParseError::NoMemory => (ErrorKind::Overloaded, MEMORY_RETRY_AFTER),
         };
         let now = self.0.now();
-        reject(&self.0, "", now, kind, Duration::ZERO, &error.to_string())
+        reject(&self.0, "", now, kind, retry_after, &error.to_string())
+    }
+
+    fn memory(&self) -> &MemoryBudget {
+        &self.0.memory
     }
 }
 
@@ -134,7 +142,7 @@
     stated.or_else(|| head.uri.host()).unwrap_or("")
 }
 
-async fn handle_request(node: &Arc<Node>, request: Request<Bytes>) -> Response<Bytes> {
+async fn handle_request(node: &Arc<Node>, request: Request<Body>) -> Response<Body> {
     let began = node.now();
     let (head, body) = request.into_parts();
     let id = headers::request_id(&head.headers).unwrap_or("").to_owned();
@@ -190,7 +198,7 @@
     node: &Node,
     config: &Configuration,
     mut head: request::Parts,
-    body: Bytes,
+    body: Body,
     route: Arc<Route>,
     began: Time,
     id: String,
@@ -207,7 +215,8 @@
     head.headers.remove(headers::TARGET);
     let target = head.uri.path_and_query().map_or("/", |it| it.as_str()).to_owned();
     let caller = &node.settings.service;
-    let key = RequestKey::new(caller, head.method.as_str(), host(&head), &target, &body);
+    let pieces = body.pieces().iter().map(|it| it.as_ref());
+    let key = RequestKey::new(caller, head.method.as_str(), host(&head), &target, pieces);
     let returned = node.shared().rejected_callers.take_return(began, key);
     let first_at = returned.unwrap_or(began);
     let placement = PlacementRequest {
@@ -418,7 +427,7 @@
         drop(shared);
         return interpret_outcome(run_outcome, call.body.len(), body);
     }
-    let exchange = node.peers.run(target.address, encode(&request), call.body.clone());
+    let exchange = node.peers.run(target.address, encode(&request), call.body.to_bytes());
     let within = left + REPLY_SLACK;
     let frame = match async_std::future::timeout(within, exchange).await {
         Ok(Ok(frame)) => frame,
@@ -443,7 +452,7 @@
             shared.placement.record_gate(ended, vm, &call.route.name, reply.lowest);
             drop(shared);
             node.check_versions(&reply.vm, reply.versions);
-            interpret_outcome(reply.outcome, call.body.len(), frame.body)
+            interpret_outcome(reply.outcome, call.body.len(), frame.body.into())
         }
         Err(reason) => (Outcome::Cut, None, reason),
     }
@@ -455,7 +464,7 @@
 fn interpret_outcome(
     run_outcome: RunOutcome,
     sent: usize,
-    body: Bytes,
+    body: Body,
 ) -> (Outcome, Option<CompleteResponse>, String) {
     match run_outcome {
         RunOutcome::Answered { status, headers, run } => match relay::decode_headers(&headers) {
@@ -488,7 +497,7 @@
     call: &Call,
     history: &SendHistory,
     result: Result<CompleteResponse, Rejection>,
-) -> Response<Bytes> {
+) -> Response<Body> {
     let passed = node.now().since(call.began);
     let ms = passed.as_millis() as u64;
     let route = Arc::clone(&call.route.name);
@@ -554,7 +563,7 @@
     kind: ErrorKind,
     retry_after: Duration,
     reason: &str,
-) -> Response<Bytes> {
+) -> Response<Body> {
     metrics::counter!("shallottack_refused_total", "kind" => kind.as_str()).increment(1);
     node.events.write(&Event::Rejected {
         id,
@@ -572,9 +581,9 @@
     error_response(id, kind, retry_after)
 }
 
-fn error_response(id: &str, kind: ErrorKind, retry_after: Duration) -> Response<Bytes> {
+fn error_response(id: &str, kind: ErrorKind, retry_after: Duration) -> Response<Body> {
     let answer = kind.answer();
-    let mut response = Response::new(Bytes::new());
+    let mut response = Response::new(Body::default());
     *response.status_mut() =
         StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let response_headers = response.headers_mut();
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -219,8 +219,9 @@
     task::spawn(async move {
         let _trigger = trigger;
         let open = Arc::new(AtomicUsize::new(0));
+        let memory = node.memory.clone();
         let handler = move |request| handler(Arc::clone(&node), request);
-        serve(listener, stop, open, FnApplication(handler)).await;
+        serve(listener, stop, open, FnApplication { handler, memory }).await;
     })
 }
 
--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -18,7 +18,9 @@
 use bytes::Bytes;
 use futures_lite::future;
 use http::{Request, Response, StatusCode};
-use shallottack_http::{Application, ConnectionLimits, ParseError, SizeLimits, serve_pipelined};
+use shallottack_http::{
+    Application, Body, ConnectionLimits, MemoryBudget, ParseError, SizeLimits, serve_pipelined,
+};
 
 /// Connection limits of ports that only the platform, the backend server on the same VM and
 /// operators use.
@@ -52,7 +54,12 @@
 }
 
 /// Application that handles each request with a function, one at a time per connection.
-pub struct FnApplication<F>(pub F);
+pub struct FnApplication<F> {
+    /// Handler of the requests.
+    pub handler: F,
+    /// Budget of the memory for requests.
+    pub memory: MemoryBudget,
+}
 
 impl<F, R> Application for FnApplication<F>
 where
@@ -71,16 +78,23 @@
         false
     }
 
-    fn call(&self, request: Request<Bytes>) -> impl Future<Output = Response<Bytes>> + Send {
-        (self.0)(request)
+    async fn call(&self, request: Request<Body>) -> Response<Body> {
+        (self.handler)(request.map(|it| it.to_bytes())).await.map(Body::from)
     }
 
-    fn malformed(&self, error: ParseError) -> Response<Bytes> {
-        log::debug!("malformed request on an internal port: {error}");
-        let mut response = Response::new(Bytes::new());
-        *response.status_mut() = StatusCode::BAD_REQUEST;
+    fn malformed(&self, error: ParseError) -> Response<Body> {
+        log::debug!("request on an internal port is refused: {error}");
+        let mut response = Response::new(Body::default());
+        *response.status_mut() = match error {
+            ParseError::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
+            _ => StatusCode::BAD_REQUEST,
+        };
         response
     }
+
+    fn memory(&self) -> &MemoryBudget {
+        &self.memory
+    }
 }
 
 /// Serves `application` on `listener` until `stop` is signalled, then closes each connection after
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -21,6 +21,7 @@
     RetryBudget, RetryBudgetSettings, Rollout, RowVersion, Runs, ServerUpdate, Slots, TaskId,
     Ticket, Tickets, Wake, is_store_reader,
 };
+use shallottack_http::MemoryBudget;
 use shallottack_kernel::{Clock, EndpointId, ServiceName, SystemClock, Time, unix_ms};
 use shallottack_rpc::FleetPeers;
 use shallottack_site::configuration;
@@ -110,6 +111,8 @@
     pub clock: SystemClock,
     /// Connections to other daemons.
     pub peers: FleetPeers,
+    /// Budget of the memory for bytes of callers, backend servers and other daemons.
+    pub memory: MemoryBudget,
     /// Connections to the backend server.
     pub backend: BackendClient,
     /// Structured log.
@@ -129,6 +132,7 @@
     /// Creates a daemon without a configuration that knows no other daemon.
     pub fn new(settings: Settings, events: EventLog) -> Arc<Node> {
         let (retries, policy) = (&settings.retries, &settings.policy);
+        let memory = MemoryBudget::new(settings.memory_budget());
         let clock = SystemClock::new();
         let budget = RetryBudgetSettings {
             ratio: retries.ratio,
@@ -183,7 +187,8 @@
             backend_down_until: None,
         };
         Arc::new(Node {
-            backend: BackendClient::new(settings.backend),
+            backend: BackendClient::new(settings.backend, memory.clone()),
+            memory,
             settings,
             clock,
             peers: FleetPeers::default(),
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -9,6 +9,7 @@
 use shallottack_fleet::{
     Admission, Arrival, RepeatCause, RequestKey, RunEnd, Standing, StartedRun, TaskId,
 };
+use shallottack_http::Body;
 use shallottack_kernel::{ErrorKind, Time};
 use shallottack_rpc::{FleetHandler, Frame, PROTOCOL};
 
@@ -38,7 +39,7 @@
         let arrived = self.0.now();
         request.left = self.0.time_before_stop(arrived, request.left);
         let next = new_arrival(TaskId::default(), arrived, &request);
-        let (outcome, body) = run(&self.0, request, frame.body).await;
+        let (outcome, body) = run(&self.0, request, frame.body.into()).await;
         let held = self.0.shared().link.send(self.0.now(), body.len());
         if !held.is_zero() {
             metrics::histogram!("shallottack_link_wait_seconds").record(held.as_secs_f64());
@@ -52,7 +53,7 @@
             lowest: self.0.lowest_ticket(arrived, next),
             versions: self.0.versions(),
         };
-        Ok(Frame { protocol: PROTOCOL, head: encode(&reply).into(), body })
+        Ok(Frame { protocol: PROTOCOL, head: encode(&reply).into(), body: body.to_bytes() })
     }
 
     async fn sync(&self, frame: Frame) -> Result<Frame, String> {
@@ -144,7 +145,7 @@
 }
 
 /// Waits for a slot and runs a request at the backend server on this VM.
-pub async fn run(node: &Arc<Node>, request: RunRequest, body: Bytes) -> (RunOutcome, Bytes) {
+pub async fn run(node: &Arc<Node>, request: RunRequest, body: Body) -> (RunOutcome, Body) {
     let arrived = node.now();
     let slot = match acquire_slot(node, &request).await {
         Ok(slot) => slot,
@@ -160,7 +161,7 @@
                 waited_ms: node.now().since(arrived).as_millis() as u64,
             });
             metrics::counter!("shallottack_refused_total", "kind" => kind.as_str()).increment(1);
-            return (RunOutcome::Refused { kind, retry_after }, Bytes::new());
+            return (RunOutcome::Refused { kind, retry_after }, Body::default());
         }
     };
     run_admitted(node, request, body, slot, arrived).await
@@ -170,10 +171,10 @@
 async fn run_admitted(
     node: &Arc<Node>,
     request: RunRequest,
-    body: Bytes,
+    body: Body,
     mut slot: SlotGuard<'_>,
     arrived: Time,
-) -> (RunOutcome, Bytes) {
+) -> (RunOutcome, Body) {
     let started = node.now();
     let waited = started.since(arrived);
     metrics::histogram!("shallottack_queue_seconds").record(waited.as_secs_f64());
@@ -228,7 +229,7 @@
             let headers = encode_headers(&response.headers);
             (RunOutcome::Answered { status: response.status.as_u16(), headers, run }, response.body)
         }
-        ExchangeOutcome::NotRun(..) => (RunOutcome::Shed, Bytes::new()),
+        ExchangeOutcome::NotRun(..) => (RunOutcome::Shed, Body::default()),
         ExchangeOutcome::Unsent(_) => {
             node.backend_refused();
             (
@@ -236,11 +237,11 @@
                     kind: ErrorKind::NoEndpoint,
                     retry_after: REFUSED_RETRY_AFTER,
                 },
-                Bytes::new(),
+                Body::default(),
             )
         }
-        ExchangeOutcome::Broken(reason) => (RunOutcome::Broken(reason), Bytes::new()),
-        ExchangeOutcome::TimedOut => (RunOutcome::TimedOut, Bytes::new()),
+        ExchangeOutcome::Broken(reason) => (RunOutcome::Broken(reason), Body::default()),
+        ExchangeOutcome::TimedOut => (RunOutcome::TimedOut, Body::default()),
     }
 }
 
@@ -313,7 +314,7 @@
 
 fn build_request(
     request: RunRequest,
-    body: Bytes,
+    body: Body,
     left: Duration,
 ) -> Result<BackendRequest, String> {
     Ok(BackendRequest {
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde_with::serde_as;
 use shallottack_fleet::{PlacementSettings, RejectedCallersSettings, SlotsSettings};
+use shallottack_http::BudgetSettings;
 use shallottack_kernel::{DataCentre, EndpointId, ServiceName};
 use shallottack_settings::{Check, SettingsError};
 use shallottack_site::TextDuration;
@@ -31,6 +32,10 @@
     pub heartbeat: Duration,
     /// Bandwidth of the VM's link in Mbit/s.
     pub link_mbps: f64,
+    /// Memory of the process in MB, above which the platform ends it; that of the smallest VM if it
+    /// is not stated.
+    #[serde(default = "smallest_memory")]
+    pub memory_mb: f64,
     /// Graceful stop.
     pub stop: StopSettings,
     /// Retry budget of the whole fleet.
@@ -106,7 +111,32 @@
     pub metrics: SocketAddr,
 }
 
+/// Memory of the smallest VM in MB.
+const SMALLEST_MEMORY_MB: f64 = 88.0;
+/// Memory in MB that the process needs besides the bytes of its peers: code, directory,
+/// configurations, log, and the buffers of connections.
+const OWN_MEMORY_MB: f64 = 16.0;
+/// Least memory in MB with which a daemon starts.
+const MIN_MEMORY_MB: f64 = 32.0;
+/// Part of the memory in bytes that only short messages use.
+const SHORT_SHARE_BYTES: usize = 4_000_000;
+/// Fraction of the memory for bytes of peers that long responses may use; on the smallest VM, the
+/// longest response fits.
+const RESPONSE_SHARE: f64 = 0.25;
+
+fn smallest_memory() -> f64 {
+    SMALLEST_MEMORY_MB
+}
+
 impl Settings {
+    /// Returns the sizes of the budget for the bytes that callers, backend servers and other daemons
+    /// send.
+    pub fn memory_budget(&self) -> BudgetSettings {
+        let capacity = ((self.memory_mb - OWN_MEMORY_MB) * 1e6) as usize;
+        let responses = (capacity as f64 * RESPONSE_SHARE) as usize;
+        BudgetSettings { capacity, short_share: SHORT_SHARE_BYTES, responses }
+    }
+
     /// Reads and validates the settings file at `path`.
     ///
     /// # Errors
@@ -137,6 +167,9 @@
         if self.link_mbps.is_nan() || self.link_mbps <= 0.0 {
             problems.push("link_mbps: expected more than 0".to_owned());
         }
+        if self.memory_mb.is_nan() || self.memory_mb < MIN_MEMORY_MB {
+            problems.push(format!("memory_mb: expected {MIN_MEMORY_MB} or more"));
+        }
         if self.stop.grace < second {
             problems.push("stop.grace: expected 1 s or more".to_owned());
         }
--- a/crates/sidecar/src/telemetry.rs
+++ b/crates/sidecar/src/telemetry.rs
@@ -49,6 +49,8 @@
     metrics::gauge!("shallottack_backend_running").set(load.running);
     metrics::gauge!("shallottack_backend_queued").set(load.queued);
     metrics::gauge!("shallottack_backend_limit").set(load.limit);
+    metrics::gauge!("shallottack_memory_held_bytes").set(node.memory.held() as f64);
+    metrics::gauge!("shallottack_memory_peak_bytes").set(node.memory.peak() as f64);
     record_budgets(&node);
     metrics::gauge!("shallottack_members").set(node.shared().directory.len() as f64);
     let text = recorder.map_or_else(String::new, |it| it.render());
--- a/crates/sidecar/tests/suite/settings.rs
+++ b/crates/sidecar/tests/suite/settings.rs
@@ -63,6 +63,7 @@
         ("provider.address", "127.0.0.1:8006"),
         ("heartbeat", "1500ms"),
         ("limits.bandwidth_mbps", "20.0"),
+        ("limits.memory_mb", "160"),
         ("bounds.grace", "6s"),
         ("bounds.retry_budget_ratio", "0.2"),
         ("bounds.retry_budget_extra", "62"),
--- a/crates/standins/src/site/server.rs
+++ b/crates/standins/src/site/server.rs
@@ -39,6 +39,8 @@
     notice: Vec<(String, String)>,
     runs: Vec<Received>,
     sequence: u64,
+    /// Number of requests that it states to run at the same time.
+    slots: u32,
 }
 
 /// Backend server on a loopback port.
@@ -65,6 +67,7 @@
             notice: Vec::new(),
             runs: Vec::new(),
             sequence: 0,
+            slots: 4,
         }));
         let (own, served) = (id.to_owned(), Arc::clone(&state));
         let address = serve(move |request| answer(&own, &served, &request))?;
@@ -102,6 +105,11 @@
         lock(&self.state).notice = vec![("server-leaving".to_owned(), "1".to_owned())];
     }
 
+    /// States from now on that it runs this many requests at the same time.
+    pub fn set_slots(&self, slots: u32) {
+        lock(&self.state).slots = slots;
+    }
+
     /// Returns the requests that it has run.
     pub fn runs(&self) -> Vec<Received> {
         lock(&self.state).runs.clone()
@@ -113,14 +121,14 @@
     ///
     /// Returns the error of the operating system when the daemon can't be reached.
     pub fn heartbeat(&self, to: SocketAddr, state: &str) -> io::Result<u16> {
-        let (sequence, born) = {
+        let (sequence, born, slots) = {
             let mut state = lock(&self.state);
             state.sequence += 1;
-            (state.sequence, 1 + state.crashes)
+            (state.sequence, 1 + state.crashes, state.slots)
         };
         let body = serde_json::json!({
             "service": self.service, "address": self.address.to_string(), "zone": "a",
-            "version": "v1", "capacity": 4, "state": state, "warmup_left": "0ms",
+            "version": "v1", "capacity": slots, "state": state, "warmup_left": "0ms",
             "sequence": sequence, "born": born,
         })
         .to_string();
