Acknowledge a leave only once it outlives the daemon

Cause: the acknowledgement went out before anything but the process held the leave. The other daemons were told, but replaced what they knew by the description of the new incarnation, and a daemon dropped what others sent about its own VM. Evidence: with the former daemon a request reaches the server after the late heartbeat in each form of the leave.

Daemons keep each described leave apart from the descriptions and state it to the daemon of that VM in each exchange. A daemon that starts does not offer its server before it has read its earlier row or had an exchange. A leave notice before any heartbeat is part of the description.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -11,7 +11,7 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{Crash, Server, Verdict};
+use crate::{Crash, LeaveNotice, Server, Verdict};
 
 /// Buckets in which members are compared by digest; with 110 members, a bucket holds about four.
 const BUCKETS: usize = 32;
@@ -49,6 +49,8 @@
     pub stopping: bool,
     /// Backend server on the VM; `None` before its first heartbeat.
     pub server: Option<Server>,
+    /// Leave notice of a backend server that sent no heartbeat.
+    pub left: Option<LeaveNotice>,
     /// Recent crashes of the backend server that no blocked request explains.
     pub crashes: SmallVec<[Crash; 1]>,
     /// What is known about requests that were in progress when backend servers of its service
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -52,6 +52,23 @@
     }
 }
 
+/// Notice that a backend server leaves.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaveNotice {
+    /// Identifier of the backend server.
+    pub id: EndpointId,
+    /// Unix time of its start in milliseconds, if the notice states it.
+    pub started_ms: Option<u64>,
+}
+
+impl LeaveNotice {
+    /// Returns the notice for a backend server that is leaving, `None` for another one.
+    pub fn of(server: &Server) -> Option<LeaveNotice> {
+        let leaving = server.state != ServerState::Ready;
+        leaving.then(|| LeaveNotice { id: server.id.clone(), started_ms: Some(server.started_ms) })
+    }
+}
+
 /// Effect of a heartbeat or a leave notice.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServerUpdate {
@@ -67,9 +84,9 @@
 #[derive(Debug, Default)]
 pub struct LocalServer {
     current: Option<Current>,
-    /// Backend server whose leave notice came before any heartbeat, with the start time of that
-    /// incarnation once it is known.
-    early_leave: Option<(EndpointId, Option<u64>)>,
+    /// Leave notice that came before any heartbeat, with the start time of that incarnation once it
+    /// is known.
+    early_leave: Option<LeaveNotice>,
 }
 
 #[derive(Debug)]
@@ -84,10 +101,10 @@
 impl LocalServer {
     /// Processes a heartbeat.
     pub fn heartbeat(&mut self, now: Time, beat: &Heartbeat) -> ServerUpdate {
-        if let Some((id, started_ms)) = &mut self.early_leave
-            && *id == beat.server.id
+        if let Some(notice) = &mut self.early_leave
+            && notice.id == beat.server.id
             // A leave notice without a start time is about the first incarnation seen afterwards.
-            && beat.server.started_ms <= *started_ms.get_or_insert(beat.server.started_ms)
+            && beat.server.started_ms <= *notice.started_ms.get_or_insert(beat.server.started_ms)
         {
             return ServerUpdate::Stale;
         }
@@ -121,7 +138,7 @@
     /// `started_ms` is the start time of the incarnation, if the notice states it.
     pub fn leave(&mut self, now: Time, id: &EndpointId, started_ms: Option<u64>) -> ServerUpdate {
         let Some(current) = self.current.as_mut().filter(|it| it.server.id == *id) else {
-            self.early_leave = Some((id.clone(), started_ms));
+            self.early_leave = Some(LeaveNotice { id: id.clone(), started_ms });
             return ServerUpdate::Stale;
         };
         if started_ms.is_some_and(|it| it < current.server.started_ms) {
@@ -135,6 +152,11 @@
         ServerUpdate::Changed
     }
 
+    /// Returns the leave notice that came before any heartbeat.
+    pub fn early_leave(&self) -> Option<&LeaveNotice> {
+        self.early_leave.as_ref()
+    }
+
     /// Processes a response in which the backend server states that it is leaving.
     pub fn observe_leaving(&mut self, now: Time) -> ServerUpdate {
         let Some(current) = &mut self.current else { return ServerUpdate::Stale };
--- a/crates/shallottackd/tests/suite/fleet.rs
+++ b/crates/shallottackd/tests/suite/fleet.rs
@@ -1,6 +1,7 @@
 //! A fleet of daemons as separate processes, with stand-ins for the store and backend servers.
 
 mod crashing;
+mod leaving;
 mod memory;
 mod odd_entries;
 mod responses;
@@ -103,10 +104,15 @@
             .unwrap()
     }
 
-    /// Kills the daemon and starts it again beside the same backend server.
-    fn restart(&mut self) {
+    /// Kills the daemon.
+    fn kill(&mut self) {
         self.child.kill().unwrap();
         self.child.wait().unwrap();
+    }
+
+    /// Kills the daemon and starts it again beside the same backend server.
+    fn restart(&mut self) {
+        self.kill();
         self.child = Vm::spawn(&self.settings);
         eventually("the daemon takes heartbeats again", || {
             self.server.heartbeat(self.heartbeats, "ready").is_ok_and(|it| it == 200)
--- a/crates/sidecar/src/message.rs
+++ b/crates/sidecar/src/message.rs
@@ -4,8 +4,8 @@
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use shallottack_fleet::{
-    Digest, Evidence, Load, LoadReport, Member, RateLimit, RepeatCause, RequestKey, RowVersion,
-    Ticket,
+    Digest, Evidence, LeaveNotice, Load, LoadReport, Member, RateLimit, RepeatCause, RequestKey,
+    RowVersion, Ticket,
 };
 use shallottack_kernel::{EndpointId, ErrorKind, ServiceName};
 
@@ -153,6 +153,9 @@
     pub reports: Vec<LoadReport>,
     /// Members whose descriptions are new or missing at the receiver.
     pub members: Vec<Member>,
+    /// Leave of a backend server that the sender knows for the VM of the receiver, whose daemon may
+    /// have started again since.
+    pub leave: Option<LeaveNotice>,
     /// Digests of the sender's directory; empty if the directories are not compared.
     pub digests: Vec<Digest>,
 }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -16,10 +16,10 @@
 };
 use rand::RngExt;
 use shallottack_fleet::{
-    Arrival, Blocklist, Configuration, Directory, FanOut, FetchTracker, Link, Load, LocalServer,
-    Member, MergeResult, NeighbourSettings, Neighbours, Placement, RateLimit, RejectedCallers,
-    RetryBudget, RetryBudgetSettings, Rollout, RowVersion, Runs, ServerUpdate, Slots, TaskId,
-    Ticket, Tickets, Wake, is_store_reader,
+    Arrival, Blocklist, Configuration, Directory, FanOut, FetchTracker, Kept, LeaveNotice, Link,
+    Load, LocalServer, Member, MergeResult, NeighbourSettings, Neighbours, Placement, RateLimit,
+    RejectedCallers, RetryBudget, RetryBudgetSettings, Rollout, RowVersion, Runs, ServerState,
+    ServerUpdate, Slots, TaskId, Ticket, Tickets, Wake, is_store_reader,
 };
 use shallottack_http::MemoryBudget;
 use shallottack_kernel::{Clock, EndpointId, ServiceName, SystemClock, Time, unix_ms};
@@ -97,6 +97,11 @@
     pub fan_out: FanOut,
     /// Requests that crash backend servers of the fleet.
     pub blocklist: Blocklist,
+    /// Where this daemon's description is held.
+    pub kept: Kept,
+    /// Whether the store or another daemon has told what an earlier daemon on this VM knew of the
+    /// backend server. It is not offered before.
+    pub informed: bool,
     /// What the backend server last stated about itself.
     notice: Notice,
     /// Until when the backend server is considered down.
@@ -156,6 +161,7 @@
             link_kbps: (settings.link_mbps * 1_000.0) as u32,
             stopping: false,
             server: None,
+            left: None,
             crashes: SmallVec::new(),
             verdicts: SmallVec::new(),
         };
@@ -183,6 +189,8 @@
             runs: Runs::default(),
             fan_out: FanOut::default(),
             blocklist: Blocklist::default(),
+            kept: Kept::default(),
+            informed: false,
             notice: Notice::default(),
             backend_down_until: None,
         };
@@ -343,6 +351,7 @@
         if shared.directory.merge(member) == MergeResult::Unchanged {
             return;
         }
+        shared.placement.record_described_leave(self.now(), member);
         if shared.neighbours.contains(member) {
             shared.placement.set_member(self.now(), member);
         }
@@ -365,6 +374,7 @@
         let mut shared = self.shared();
         if let Some(member) = shared.directory.remove(vm) {
             shared.placement.remove_member(vm);
+            shared.kept.remove_holder(vm);
             self.peers.disconnect(member.address);
             self.events.write(&Event::Peer { vm: vm.as_str(), state: "removed", reason: "" });
         }
@@ -384,7 +394,7 @@
             let now = self.now();
             let server = shared.local.server().cloned();
             let limit = match &server {
-                Some(server) if shared.local.is_ready() => server.slots,
+                Some(server) if shared.may_offer() => server.slots,
                 _ => 0,
             };
             let wakes = shared.slots.set_limit(now, limit);
@@ -400,7 +410,47 @@
                 reason,
             });
         }
-        self.update_own(|own| own.server = server);
+        {
+            let mut shared = self.shared();
+            let left = shared.local.early_leave().cloned();
+            let leaving = server.as_ref().is_some_and(|it| it.state != ServerState::Ready);
+            let server = server.filter(|_| leaving || shared.may_offer());
+            shared.change_own(self.now(), |own| (own.server, own.left) = (server, left));
+            if leaving || shared.own.left.is_some() {
+                let sequence = shared.own.sequence;
+                shared.kept.record_leave(sequence);
+            }
+        }
+        // If the channel is full, the writer has already been woken.
+        self.publish_signal.0.try_send(()).ok();
+    }
+
+    /// Applies what `source` knows of an earlier daemon's leave notice, and offers the backend server
+    /// from now on unless it has left.
+    pub fn apply_leave(&self, notice: Option<&LeaveNotice>, source: &str) {
+        let (changed, informed) = {
+            let mut shared = self.shared();
+            let early = shared.local.early_leave().cloned();
+            let update = notice.map(|it| {
+                let now = self.now();
+                shared.local.leave(now, &it.id, it.started_ms)
+            });
+            let changed = update == Some(ServerUpdate::Changed)
+                || early.as_ref() != shared.local.early_leave();
+            (changed, std::mem::replace(&mut shared.informed, true))
+        };
+        if changed || !informed {
+            self.server_changed(source);
+        }
+    }
+
+    /// Returns whether the leave of the backend server outlives this daemon.
+    pub fn is_leave_kept(&self) -> bool {
+        let shared = self.shared();
+        let members = shared.directory.members();
+        let reachable =
+            members.filter(|it| it.vm != shared.own.vm && shared.placement.is_reachable(&it.vm));
+        shared.kept.is_leave_kept(reachable.count())
     }
 
     /// Returns the load of the backend server as it is reported to other daemons.
@@ -501,6 +551,11 @@
         self.notice = Notice::default();
     }
 
+    /// Returns whether the backend server is ready, and may be offered to other daemons.
+    pub fn may_offer(&self) -> bool {
+        self.informed && self.local.is_ready()
+    }
+
     /// Returns whether the backend server is assumed to accept connections.
     pub fn backend_up(&self, now: Time) -> bool {
         self.backend_down_until.is_none_or(|until| now >= until)
--- a/crates/sidecar/src/publish.rs
+++ b/crates/sidecar/src/publish.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use async_std::task;
-use shallottack_fleet::{Member, RowVersion, ServerState, ServerUpdate};
+use shallottack_fleet::{LeaveNotice, Member, RowVersion};
 use shallottack_site::store::{Store, StoreError, Written};
 
 use crate::{
@@ -50,14 +50,17 @@
     loop {
         match store.row(MEMBERS_TABLE, node.settings.vm.as_str()).await {
             Ok(row) => {
-                let Some(row) = row else { return RowVersion::default() };
-                let earlier = row.value.as_deref().map(|it| decode_member(&row.key, it));
+                let version = row.as_ref().map_or_else(RowVersion::default, |it| it.version);
+                let earlier = row.as_ref().and_then(|row| {
+                    Some((&row.key, decode_member(&row.key, row.value.as_deref()?)))
+                });
                 match earlier {
-                    Some(Ok(earlier)) => restore(node, &earlier),
-                    Some(Err(reason)) => log_malformed(node, &row.key, &reason),
+                    Some((_, Ok(earlier))) => restore(node, &earlier),
+                    Some((key, Err(reason))) => log_malformed(node, key, &reason),
                     None => {}
                 }
-                return row.version;
+                node.apply_leave(None, "store");
+                return version;
             }
             Err(error) => {
                 log::debug!("can't read this daemon's row from the store: {error}");
@@ -77,12 +80,8 @@
 /// Takes over from an earlier daemon on this VM that the backend server is leaving, since a late
 /// heartbeat may still state that it is ready.
 fn restore_leave(node: &Node, earlier: &Member) {
-    let leaving = earlier.server.as_ref().filter(|it| it.state != ServerState::Ready);
-    let Some(server) = leaving else { return };
-    let update = node.shared().local.leave(node.now(), &server.id, Some(server.started_ms));
-    if update == ServerUpdate::Changed {
-        node.server_changed("earlier daemon");
-    }
+    let notice = earlier.server.as_ref().and_then(LeaveNotice::of).or(earlier.left.clone());
+    node.apply_leave(notice.as_ref(), "earlier daemon");
 }
 
 /// Sends the current description to the other daemons, writes it and returns the version of the
@@ -104,6 +103,7 @@
         match store.write(MEMBERS_TABLE, node.settings.vm.as_str(), row, value).await {
             Ok(Written::Done(version)) => {
                 let row = version.number;
+                node.shared().kept.record_stored(own.sequence);
                 node.events.write(&Event::Published { sequence: own.sequence, row });
                 node.observe_era(version.era, "store");
                 return version;
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -259,7 +259,7 @@
             return Err((ErrorKind::Stopping, REFUSED_RETRY_AFTER));
         }
         let expected = shared.local.server().is_some_and(|it| it.id == request.server);
-        if !expected || !shared.local.is_ready() || !shared.backend_up(now) {
+        if !expected || !shared.may_offer() || !shared.backend_up(now) {
             return Err((ErrorKind::NoEndpoint, REFUSED_RETRY_AFTER));
         }
         if let Some(limit) = request.rate_limit {
--- a/crates/sidecar/src/sync.rs
+++ b/crates/sidecar/src/sync.rs
@@ -324,6 +324,7 @@
             evidence: shared.evidence(0),
             reports: Vec::new(),
             members: Vec::new(),
+            leave: shared.placement.known_leave(&receiver.vm),
             digests: Vec::new(),
         };
         if shared.sampled() {
@@ -348,11 +349,17 @@
     ) -> Option<SyncReply> {
         let frame = self.peers.sync(member.address, encode(&request), within).await;
         let reply = match frame {
-            Ok(frame) => decode(&frame.head),
+            Ok(frame) => decode::<SyncReply>(&frame.head),
             Err(PeerError::Unsent(reason) | PeerError::Cut(reason)) => Err(reason),
         };
         match reply {
-            Ok(reply) => Some(reply),
+            Ok(reply) => {
+                if reply.gossip.own.vm == member.vm {
+                    let sequence = request.gossip.own.sequence;
+                    self.shared().kept.record_holder(&member.vm, sequence);
+                }
+                Some(reply)
+            }
             Err(reason) => {
                 let was_up = self.shared().placement.mark_unreachable(self.now(), &member.vm);
                 if was_up {
@@ -366,6 +373,7 @@
 
     /// Applies everything received from another daemon.
     fn apply_gossip(self: &Arc<Self>, gossip: &Gossip) {
+        self.apply_leave(gossip.leave.as_ref(), gossip.own.vm.as_str());
         self.apply_member(&gossip.own);
         gossip.members.iter().for_each(|it| self.apply_member(it));
         self.record_load(&gossip.own.vm, gossip.load);
--- a/crates/standins/src/site/server.rs
+++ b/crates/standins/src/site/server.rs
@@ -115,6 +115,21 @@
         lock(&self.state).runs.clone()
     }
 
+    /// Sends a leave notice to the daemon at `to`; returns the status of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system when the daemon can't be reached.
+    pub fn leave(&self, to: SocketAddr) -> io::Result<u16> {
+        let body = format!("{{\"born\":{}}}", 1 + lock(&self.state).crashes);
+        let request = format!(
+            "DELETE /v1/instances/{} HTTP/1.1\r\nhost: x\r\ncontent-length: {}\r\n\r\n{body}",
+            self.id,
+            body.len()
+        );
+        Ok(exchange(to, &request, 1)?[0].status)
+    }
+
     /// Sends a heartbeat with a state to the daemon at `to`; returns the status of the answer.
     ///
     /// # Errors
