Give way to other tasks however many bytes a peer sends

Cause: the HTTP library reads and skips interim responses for as long as bytes are ready, and the daemon runs all tasks on one thread, so that no time limit fired. Evidence: four callers that send requests for an unknown route without end stop the former daemon as well, so that the cause is not the interim response but every loop that goes on while a peer has bytes ready.

Such loops now give way after 64 KiB or 32 steps: connections of callers, of the platform, between daemons, to the backend server and to the store, the discarding of bytes behind a close, and both accept loops. An exchange ends after 16 interim responses, and the head of a response is limited to 64 KiB.

Both tests failed before: interim_responses_without_end_stop_the_daemon and bytes_without_end_stop_the_daemon had no answer at all.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,6 +9,7 @@
 mod exchange;
 mod guard;
 mod memory;
+mod pace;
 mod pipeline;
 mod pool;
 mod serve;
@@ -22,6 +23,7 @@
 pub use memory::{
     BudgetSettings, Growth, Kind, Ledger, MemoryBudget, NoMemory, Reservation, SHORT_BYTES, Ticket,
 };
+pub use pace::{Pace, PacedStream};
 pub use pipeline::{
     Application, ConnectionLimits, ParseError, ParseProgress, ParsedRequest, Parser, SizeLimits,
     serve_pipelined,
--- a/crates/http/src/pipeline/mod.rs
+++ b/crates/http/src/pipeline/mod.rs
@@ -25,6 +25,7 @@
 use crate::{
     body::Body,
     memory::{Kind, MemoryBudget, Reservation},
+    pace::Pace,
 };
 
 pub use parse::{ParseError, ParseProgress, ParsedRequest, Parser, SizeLimits};
@@ -143,9 +144,10 @@
         wait_start: Instant::now(),
     };
     let mut stop = std::pin::pin!(stop);
+    let mut pace = Pace::default();
     loop {
         match connection.step(stop.as_mut()).await? {
-            Step::Continue => {}
+            Step::Continue => pace.step(connection.parser.body_length().min(BODY_READ_BYTES)).await,
             Step::Finished => return linger(&stream).await,
             Step::Closed => return Ok(()),
         }
@@ -369,7 +371,12 @@
     stream.shutdown(Shutdown::Write)?;
     let mut reader = stream;
     let mut bytes = [0; 1_024];
-    let rest = async { while reader.read(&mut bytes).await.is_ok_and(|it| it > 0) {} };
+    let mut pace = Pace::default();
+    let rest = async {
+        while let Ok(count @ 1..) = reader.read(&mut bytes).await {
+            pace.step(count).await;
+        }
+    };
     // The client may keep its side open. The last response told it that the connection closes, so
     // further requests are ignored.
     timeout(LINGER, rest).await.ok();
--- a/crates/rpc/src/fleet.rs
+++ b/crates/rpc/src/fleet.rs
@@ -24,7 +24,7 @@
     server::conn::http2::Builder as ServerBuilder,
     service::service_fn,
 };
-use shallottack_http::{ConnectionGuard, spawn_connection};
+use shallottack_http::{ConnectionGuard, PacedStream, spawn_connection};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use tonic::{Request, Response, Status, body::Body};
 use tower_service::Service;
@@ -180,7 +180,7 @@
             .initial_stream_window_size(STREAM_WINDOW_BYTES)
             .keep_alive_interval(PING_INTERVAL)
             .keep_alive_timeout(PING_TIMEOUT)
-            .handshake(FuturesIo::new(stream))
+            .handshake(FuturesIo::new(PacedStream::new(stream)))
             .await
             .map_err(unsent)?;
         let channel = Channel { sender, _connection: spawn_connection(connection) };
@@ -254,6 +254,8 @@
                 .max_decoding_message_size(MAX_FRAME_BYTES)
                 .max_encoding_message_size(MAX_FRAME_BYTES);
             task::spawn(serve_connection(stream, service));
+            // Connections may come as fast as they are accepted.
+            task::yield_now().await;
         }
     })
 }
@@ -271,6 +273,6 @@
         .timer(SmolTimer::new())
         .keep_alive_interval(SERVER_PING_INTERVAL)
         .keep_alive_timeout(PING_TIMEOUT)
-        .serve_connection(FuturesIo::new(stream), service)
+        .serve_connection(FuturesIo::new(PacedStream::new(stream)), service)
         .await;
 }
--- a/crates/shallottackd/tests/suite/fleet.rs
+++ b/crates/shallottackd/tests/suite/fleet.rs
@@ -1,6 +1,7 @@
 //! A fleet of daemons as separate processes, with stand-ins for the store and backend servers.
 
 mod crashing;
+mod endless;
 mod leaving;
 mod memory;
 mod odd_entries;
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -1,20 +1,28 @@
 //! HTTP/1.1 client for the backend server on the same VM, with connection reuse.
 
 use std::{
-    io::ErrorKind,
+    io::{self, ErrorKind},
     net::SocketAddr,
-    sync::{Mutex, MutexGuard, PoisonError},
+    pin::Pin,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU32, Ordering::Relaxed},
+    },
+    task::{Context, Poll},
     time::{Duration, Instant},
 };
 
 use async_std::{future::timeout, net::TcpStream};
+use futures_lite::io::{AsyncRead, AsyncWrite};
 use http::{HeaderMap, Method, Request, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::Body as _;
 use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::ext::on_informational;
 use shallottack_fleet::RateLimit;
 use shallottack_http::{
-    Body, BodyBuffer, ConnectionGuard, Kind, MemoryBudget, Reservation, spawn_connection,
+    Body, BodyBuffer, ConnectionGuard, Kind, MemoryBudget, PacedStream, Reservation,
+    spawn_connection,
 };
 use shallottack_kernel::EndpointId;
 use shallottack_site::headers;
@@ -37,6 +45,8 @@
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 /// Largest head of a response, and largest read, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Most interim responses before the response to a request.
+const MAX_INTERIM: u32 = 16;
 /// Number of refusals after which a connection is not reused, so that the list of them stays short.
 const MAX_REFUSED: usize = 64;
 /// How long connections are not reused for non-idempotent requests after the backend server sent
@@ -108,8 +118,57 @@
     TimedOut,
 }
 
+/// Stream to the backend server, which fails after too many interim responses.
+struct BackendStream {
+    stream: PacedStream<TcpStream>,
+    /// Number of interim responses to the current request.
+    interim: Arc<AtomicU32>,
+}
+
+impl AsyncRead for BackendStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.interim.load(Relaxed) > MAX_INTERIM {
+            let reason = format!("more than {MAX_INTERIM} interim responses");
+            return Poll::Ready(Err(io::Error::new(ErrorKind::InvalidData, reason)));
+        }
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for BackendStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
+
 struct Connection {
     sender: SendRequest<Body>,
+    /// Number of interim responses to the current request.
+    interim: Arc<AtomicU32>,
     /// Number of requests sent before the current one.
     served: u32,
     /// Identifiers of the requests that were refused on it.
@@ -163,6 +222,11 @@
                 },
             };
             let left = within.saturating_sub(started.elapsed());
+            connection.interim.store(0, Relaxed);
+            let interim = Arc::clone(&connection.interim);
+            on_informational(&mut request, move |_| {
+                interim.fetch_add(1, Relaxed);
+            });
             let exchange = async {
                 match connection.sender.try_send_request(request).await {
                     Ok(response) => {
@@ -243,6 +307,9 @@
         let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await;
         let stream = connecting.map_err(|it| it.to_string())?.map_err(|it| it.to_string())?;
         stream.set_nodelay(true).map_err(|it| it.to_string())?;
+        let interim = Arc::<AtomicU32>::default();
+        let stream =
+            BackendStream { stream: PacedStream::new(stream), interim: Arc::clone(&interim) };
         let handshake = Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .writev(true)
@@ -252,6 +319,7 @@
         metrics::counter!("shallottack_backend_connections_total").increment(1);
         Ok(Connection {
             sender,
+            interim,
             served: 0,
             refused: SmallVec::new(),
             _guard: spawn_connection(connection),
--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -118,6 +118,8 @@
                 let guard = ConnectionGuard::new(Arc::clone(&open));
                 let application = Arc::clone(&application);
                 task::spawn(serve_connection(stream, stop.clone(), application, guard));
+                // Connections may come as fast as they are accepted.
+                future::yield_now().await;
             }
             // File descriptors are exhausted; retry when connections may have closed.
             Some(Err(error)) => {
