Detect a lost poll of the operators' rows in any size of fleet

Cause: only three daemons of each data centre read the store, with long polls of 7.5 s that begin at the same moment, after the same change. A poll that begins while the store is silent is never answered, and fails after 8.3 s.

The first reader of a data centre now polls for 1 s, the second for 3 s, the others as before, so that a lost poll shows after 1.8 s. The log states who reads and how long its polls are open, who stated a newer version first, and from whom it was fetched.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -40,7 +40,7 @@
 pub use fetch::{FetchDecision, FetchSettings, FetchTracker};
 pub use kept::Kept;
 pub use link::{LARGE_BYTES, Link};
-pub use neighbours::{NeighbourSettings, Neighbours, is_store_reader};
+pub use neighbours::{NeighbourSettings, Neighbours, store_reader_rank};
 pub use placement::{Placement, PlacementSettings};
 pub use rate::{Pace, RateLimit};
 pub use request_key::RequestKey;
--- a/crates/fleet/src/neighbours.rs
+++ b/crates/fleet/src/neighbours.rs
@@ -74,19 +74,20 @@
     }
 }
 
-/// Returns whether the daemon `me` follows the store, given the reachable daemons of its data
-/// centre.
+/// Returns the rank of the daemon `me` among those of its data centre that follow the store, the
+/// first of which is 0; `None` if it does not. `reachable` are the reachable daemons there.
 ///
 /// The daemons with the fastest links do: over a slow link, a whole configuration takes as long as
 /// it takes to reach half of the fleet, and a series of changes saturates the link.
-pub fn is_store_reader<'a>(
+pub fn store_reader_rank<'a>(
     settings: &NeighbourSettings,
     me: &Member,
     reachable: impl Iterator<Item = &'a Member>,
-) -> bool {
+) -> Option<usize> {
     let rank = |it: &Member| (Reverse(it.link_kbps), xxh3_64(it.vm.as_str().as_bytes()));
     let own = rank(me);
-    reachable.filter(|it| it.vm != me.vm && rank(it) < own).count() < settings.store_readers
+    let before = reachable.filter(|it| it.vm != me.vm && rank(it) < own).count();
+    (before < settings.store_readers).then_some(before)
 }
 
 fn group(data_centre: &DataCentre, member: &Member) -> Group {
--- a/crates/fleet/tests/suite/neighbours.rs
+++ b/crates/fleet/tests/suite/neighbours.rs
@@ -4,7 +4,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use shallottack_fleet::{Directory, Member, NeighbourSettings, Neighbours, is_store_reader};
+use shallottack_fleet::{Directory, Member, NeighbourSettings, Neighbours, store_reader_rank};
 
 use crate::fixture::member;
 
@@ -62,7 +62,8 @@
     let settings = NeighbourSettings::default();
     let mut all = fleet(50);
     for _ in 0..3 {
-        let readers = all.iter().filter(|it| is_store_reader(&settings, it, all.iter()));
+        let readers =
+            all.iter().filter(|it| store_reader_rank(&settings, it, all.iter()).is_some());
         let readers: Vec<_> = readers.cloned().collect();
         assert_eq!(readers.len(), settings.store_readers);
         all.retain(|it| !readers.contains(it));
@@ -79,7 +80,7 @@
         it.link_kbps = if number % 20 == 7 { 200_000 } else { 10_000 };
     }
     let readers: Vec<_> =
-        all.iter().filter(|it| is_store_reader(&settings, it, all.iter())).collect();
+        all.iter().filter(|it| store_reader_rank(&settings, it, all.iter()).is_some()).collect();
     assert_eq!(readers.iter().filter(|it| it.link_kbps == 200_000).count(), 3, "{readers:?}");
     assert_eq!(readers.len(), settings.store_readers);
 }
--- a/crates/sidecar/src/events.rs
+++ b/crates/sidecar/src/events.rs
@@ -51,6 +51,16 @@
         source: &'a str,
         behind_ms: u64,
     },
+    Reader {
+        rank: Option<usize>,
+        poll_ms: u64,
+        daemons: usize,
+    },
+    Behind {
+        vm: &'a str,
+        version: u64,
+        held: u64,
+    },
     Fetched {
         vm: &'a str,
         config: u64,
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -20,9 +20,13 @@
 
 /// Table in which each daemon writes its own description.
 pub const MEMBERS_TABLE: &str = "members";
-/// Long-poll timeout for operator rows in a small fleet. A connection that went silent is detected
-/// after this time, which is shorter than the time within which a configuration must take effect.
+/// Long-poll timeout for operator rows in a small fleet.
 const CONFIG_POLL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Long-poll timeout for operator rows of the first reader of a data centre, whatever the size of
+/// the fleet. Polls that began while the store was silent, or whose connections went silent, are
+/// never answered; with the time after which a poll fails, that is detected in 1.8 s, less than the
+/// shortest time within which a configuration must take effect.
+const FIRST_POLL_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Long-poll timeout for members, which daemons also send each other.
 const MEMBERS_POLL_TIMEOUT: Duration = Duration::from_secs(8);
 /// Number of daemons in a small fleet, the size of a deployment that has not grown. Daemons of
@@ -70,12 +74,19 @@
         }
     }
 
-    /// Returns the long-poll timeout in a fleet of this many daemons.
-    fn poll_timeout(self, daemons: usize) -> Duration {
-        match self {
-            Table::Operators | Table::Status => CONFIG_POLL_TIMEOUT
-                .mul_f64((daemons as f64 / SMALL_FLEET_DAEMONS).clamp(1.0, MAX_TIMEOUT_FACTOR)),
-            Table::Members => MEMBERS_POLL_TIMEOUT,
+    /// Returns the long-poll timeout in a fleet of this many daemons, for a daemon with this rank
+    /// among the readers of its data centre.
+    ///
+    /// The first reader detects a poll that is lost, and each further one polls half as often as the
+    /// one before it, so that their polls do not begin and end together.
+    fn poll_timeout(self, daemons: usize, rank: Option<usize>) -> Duration {
+        let largest = CONFIG_POLL_TIMEOUT
+            .mul_f64((daemons as f64 / SMALL_FLEET_DAEMONS).clamp(1.0, MAX_TIMEOUT_FACTOR));
+        match (self, rank) {
+            (Table::Operators, Some(0)) => FIRST_POLL_TIMEOUT,
+            (Table::Operators, Some(1)) => largest.min(CONFIG_POLL_TIMEOUT * 2),
+            (Table::Operators | Table::Status, _) => largest,
+            (Table::Members, _) => MEMBERS_POLL_TIMEOUT,
         }
     }
 
@@ -104,6 +115,7 @@
         backoff: Backoff::new(),
         reachable: None,
         settled: false,
+        rank: None,
     };
     loop {
         match table {
@@ -125,17 +137,22 @@
     reachable: Option<bool>,
     /// Whether the settle time after the first read has passed.
     settled: bool,
+    /// Rank among the readers of the data centre at the last check.
+    rank: Option<usize>,
 }
 
 impl TableWatcher {
     async fn step(&mut self) {
         let name = self.table.name();
         let daemons = self.node.shared().directory.len();
+        self.check_rank(daemons);
+        let began = self.node.now();
         let read = match self.version {
             None => self.store.rows(name).await,
             Some(version) => self.store.changes(name, version, self.wait(daemons)).await,
         };
         let polled = self.version.is_some();
+        let open = self.node.now().since(began);
         match read {
             Ok(rows) => {
                 self.apply(&rows);
@@ -148,19 +165,31 @@
                 self.log_reachable(true, &error.to_string());
             }
             Err(error) => {
-                self.log_reachable(false, &error.to_string());
+                self.log_reachable(false, &format!("{error}, after {} ms", open.as_millis()));
                 self.backoff.wait().await;
             }
         }
     }
 
+    /// Updates the rank of this daemon, and logs a change of those who read the operators' rows.
+    fn check_rank(&mut self, daemons: usize) {
+        if !matches!(self.table, Table::Operators) {
+            return;
+        }
+        let rank = self.node.reader_rank();
+        if rank != std::mem::replace(&mut self.rank, rank) {
+            let poll_ms = self.table.poll_timeout(daemons, rank).as_millis() as u64;
+            self.node.events.write(&Event::Reader { rank, poll_ms, daemons });
+        }
+    }
+
     /// Returns how long to wait for changes. After an outage the answer comes at once, since the
     /// store may have been restored from an older copy.
     fn wait(&self, daemons: usize) -> Duration {
         if self.reachable == Some(false) {
             Duration::ZERO
         } else {
-            self.table.poll_timeout(daemons)
+            self.table.poll_timeout(daemons, self.rank)
         }
     }
 
@@ -195,6 +224,8 @@
             task::sleep(START_SETTLE_TIME).await;
         }
         while self.version.is_some() && !self.node.is_reader() {
+            let daemons = self.node.shared().directory.len();
+            self.check_rank(daemons);
             task::sleep(READER_CHECK_INTERVAL).await;
         }
     }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -19,7 +19,7 @@
     Arrival, Blocklist, Configuration, Directory, FanOut, FetchTracker, Kept, LeaveNotice, Link,
     Load, LocalServer, Member, MergeResult, NeighbourSettings, Neighbours, Placement, RateLimit,
     RejectedCallers, RetryBudget, RetryBudgetSettings, Rollout, RowVersion, Runs, ServerState,
-    ServerUpdate, Slots, TaskId, Ticket, Tickets, Wake, is_store_reader,
+    ServerUpdate, Slots, TaskId, Ticket, Tickets, Wake, store_reader_rank,
 };
 use shallottack_http::MemoryBudget;
 use shallottack_kernel::{Clock, EndpointId, ServiceName, SystemClock, Time, unix_ms};
@@ -234,14 +234,18 @@
     ///
     /// In a sampled fleet only a few daemons do, and pass changes on to the others.
     pub fn is_reader(&self) -> bool {
+        let all = !self.shared().sampled() || self.config.load().is_none();
+        all || self.reader_rank().is_some()
+    }
+
+    /// Returns the rank of this daemon among those of its data centre that poll the store in a
+    /// sampled fleet.
+    pub fn reader_rank(&self) -> Option<usize> {
         let shared = self.shared();
-        if !shared.sampled() || self.config.load().is_none() {
-            return true;
-        }
         let here = &self.settings.data_centre;
         let members = shared.directory.members().filter(|it| it.data_centre == *here);
         let reachable = members.filter(|it| !it.stopping && shared.placement.is_reachable(&it.vm));
-        is_store_reader(&NeighbourSettings::default(), &shared.own, reachable)
+        store_reader_rank(&NeighbourSettings::default(), &shared.own, reachable)
     }
 
     /// Returns whether the daemon is stopping and takes no new callers.
--- a/crates/sidecar/src/sync.rs
+++ b/crates/sidecar/src/sync.rs
@@ -115,8 +115,11 @@
             let mut shared = self.shared();
             // Compares again under the lock, since a configuration may have arrived in the
             // meantime.
-            if theirs.config > self.config_version() {
-                shared.behind_since.get_or_insert(now);
+            let in_force = self.config_version();
+            if theirs.config > in_force && shared.behind_since.is_none() {
+                shared.behind_since = Some(now);
+                let (vm, version) = (vm.as_str(), theirs.config);
+                self.events.write(&Event::Behind { vm, version, held: in_force });
             }
             let member = shared.directory.get(vm);
             let local = member.is_some_and(|it| it.data_centre == self.settings.data_centre);
@@ -172,7 +175,7 @@
         if let Some(compressed) = &reply.config {
             let config = self.shared().configs.decompress(compressed);
             match config {
-                Ok(config) => self.apply_config(config.bytes, "peer"),
+                Ok(config) => self.apply_config(config.bytes, vm.as_str()),
                 Err(reason) => {
                     let reason = reason.to_string();
                     self.events.write(&Event::ConfigRejected { source: "peer", reason: &reason });
--- a/crates/standins/src/site/store.rs
+++ b/crates/standins/src/site/store.rs
@@ -8,6 +8,7 @@
         Arc, Condvar, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering::SeqCst},
     },
+    thread,
     time::{Duration, Instant},
 };
 
@@ -17,6 +18,9 @@
 
 use super::http::{Received, Reply, serve};
 
+/// Time after which a call that began while the store was silent ends without an answer.
+const SILENCE: Duration = Duration::from_secs(60);
+
 /// Rows of a store at one moment.
 #[derive(Clone, Default)]
 pub struct StoreCopy {
@@ -32,6 +36,10 @@
     rows: BTreeMap<(String, String), (u64, Option<String>)>,
     version: u64,
     down: bool,
+    /// Number of calls that wait for changes, by table.
+    waiting: BTreeMap<String, usize>,
+    /// Whether calls that begin now are never answered.
+    silent: bool,
     /// Entries that answers about a table hold as they are, before its rows.
     odd: Vec<(String, String)>,
 }
@@ -117,6 +125,16 @@
         Ok(StoreView { address, down })
     }
 
+    /// Never answers calls that begin while `silent`; those in progress go on.
+    pub fn set_silent(&self, silent: bool) {
+        lock(&self.state).silent = silent;
+    }
+
+    /// Returns how many calls wait for changes of a table.
+    pub fn waiting(&self, table: &str) -> usize {
+        lock(&self.state).waiting.get(table).copied().unwrap_or(0)
+    }
+
     /// Refuses all calls of daemons while `down`.
     pub fn set_down(&self, down: bool) {
         lock(&self.state).down = down;
@@ -167,8 +185,17 @@
     let pairs: BTreeMap<String, String> = url.query_pairs().into_owned().collect();
     let text = |name: &str| pairs.get(name).cloned().unwrap_or_default();
     let number = |name: &str| text(name).parse::<u64>().unwrap_or(0);
-    if lock(state).down {
-        return reply(503, &json!({}));
+    {
+        let guard = lock(state);
+        if guard.down {
+            return reply(503, &json!({}));
+        }
+        if guard.silent {
+            drop(guard);
+            // The caller has given up by then.
+            thread::sleep(SILENCE);
+            return Reply::Cut("");
+        }
     }
     match url.path() {
         "/v1/rows-get" => {
@@ -183,6 +210,18 @@
 }
 
 fn feed(state: &(Mutex<State>, Condvar), table: &str, after: u64, wait_ms: u64) -> Reply {
+    *lock(state).waiting.entry(table.to_owned()).or_default() += 1;
+    let reply = wait_for_changes(state, table, after, wait_ms);
+    *lock(state).waiting.entry(table.to_owned()).or_default() -= 1;
+    reply
+}
+
+fn wait_for_changes(
+    state: &(Mutex<State>, Condvar),
+    table: &str,
+    after: u64,
+    wait_ms: u64,
+) -> Reply {
     let end = Instant::now() + Duration::from_millis(wait_ms);
     let mut guard = lock(state);
     loop {
