Take only final statuses for responses of a backend server

Cause: the daemon took any status that is no success for an answer, passed the head on as an interim response, and was done with the request. Evidence: the run is logged as answered, and the test's caller receives 101 as its only response.

Statuses outside 200 to 599 now make the response a broken one, which is repeated at another backend server or answered with 502. The server of callers' connections never ends a request with an interim status.

--- a/crates/http/src/pipeline/mod.rs
+++ b/crates/http/src/pipeline/mod.rs
@@ -20,7 +20,7 @@
 use bytes::BytesMut;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use futures_util::{StreamExt, stream::FuturesOrdered};
-use http::{Method, Request, Response, request};
+use http::{Method, Request, Response, StatusCode, request};
 
 use crate::{
     body::Body,
@@ -209,7 +209,12 @@
         let head_only = *request.method() == Method::HEAD;
         let application = self.application;
         self.running.push_back(Box::pin(async move {
-            let response = application.call(request).await;
+            let mut response = application.call(request).await;
+            // The client would go on waiting for the response.
+            if response.status().is_informational() {
+                response = Response::new(Body::default());
+                *response.status_mut() = StatusCode::BAD_GATEWAY;
+            }
             Answer { response, head_only, close }
         }));
         true
--- a/crates/shallottackd/tests/suite/fleet/responses.rs
+++ b/crates/shallottackd/tests/suite/fleet/responses.rs
@@ -130,3 +130,45 @@
         assert_eq!(answer.header("request-id"), Some(id.as_str()));
     }
 }
+
+/// Guards against a head that no caller takes for a response, such as one with status 101, and that is
+/// passed on as the whole answer: its caller waits in vain, and an idempotent request is not repeated.
+#[test]
+fn head_that_ends_no_request_is_passed_on() {
+    let signed = "response-signature: s\r\n";
+    let heads: [String; 9] = [
+        "101 Switching Protocols\r\n\r\n".to_owned(),
+        format!("101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: h2c\r\n{signed}\r\n"),
+        "100 Continue\r\n\r\n".to_owned(),
+        "199 -\r\n\r\n".to_owned(),
+        "099 -\r\ncontent-length: 0\r\n\r\n".to_owned(),
+        format!("600 -\r\n{signed}content-length: 0\r\n\r\n"),
+        format!("999 -\r\n{signed}content-length: 0\r\n\r\n"),
+        format!("200 OK\r\n{signed}content-length: 5\r\ncontent-length: 6\r\n\r\nwhole"),
+        "200 OK\r\ncontent-length: 5\r\n\r\nwhole".to_owned(),
+    ];
+    let (_store, shop, stock) = fleet(&["stock-1"]);
+    for head in &heads {
+        let bytes: &'static str = format!("HTTP/1.1 {head}").leak();
+        stock[0].server.answer(Answering::Bytes(bytes));
+        let ran = stock[0].server.runs().len();
+        for path in ["/count/1", "/order/1"] {
+            let text = request("POST", path, path).replace("4000", "500");
+            let answers = exchange(shop.callers, &text, 1);
+            let status = answers.unwrap_or_else(|it| panic!("{bytes:?}: {it}"))[0].status;
+            assert!(matches!(status, 502 | 504), "{bytes:?}: {status}");
+        }
+        assert!(stock[0].server.runs().len() >= ran + 2, "{bytes:?}");
+    }
+    let (_store, shop, stock) = fleet(&["stock-1", "stock-2"]);
+    eventually("the budget allows a repeat", || {
+        assert_eq!(shop.get("/count/1", "sound").status, 200);
+        shop.metric("shallottack_budget_allowed{service=\"stock\"}") >= 2
+    });
+    let before = stock[0].server.runs().len();
+    stock[0].server.answer(Answering::Bytes("HTTP/1.1 101 Switching Protocols\r\n\r\n"));
+    eventually("the first server is used, and each caller has the answer of the second", || {
+        assert_eq!(shop.get("/count/1", "repeated").status, 200);
+        stock[0].server.runs().len() > before
+    });
+}
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -3,6 +3,7 @@
 use std::{
     io::{self, ErrorKind},
     net::SocketAddr,
+    ops::RangeInclusive,
     pin::Pin,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -47,6 +48,8 @@
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Most interim responses before the response to a request.
 const MAX_INTERIM: u32 = 16;
+/// Status codes of responses that end a request.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// Number of refusals after which a connection is not reused, so that the list of them stays short.
 const MAX_REFUSED: usize = 64;
 /// How long connections are not reused for non-idempotent requests after the backend server sent
@@ -340,6 +343,11 @@
             self.mark_desynced();
             return ExchangeOutcome::Broken("response to another request".to_owned());
         }
+        // Callers would take it for an interim response, or for none.
+        if !FINAL_STATUSES.contains(&status.as_u16()) {
+            self.mark_desynced();
+            return ExchangeOutcome::Broken(format!("status {status} is not that of a response"));
+        }
         if headers::not_run(status.as_u16(), &response.headers) {
             // Without an identifier it may refuse an earlier request of the connection.
             if echoed.is_none() && connection.served > 0 {
--- a/crates/standins/src/site/http.rs
+++ b/crates/standins/src/site/http.rs
@@ -48,6 +48,8 @@
         /// Body.
         body: Vec<u8>,
     },
+    /// Writes these bytes, and waits for the next request.
+    Bytes(&'static str),
     /// Writes these bytes, then closes the connection.
     Cut(&'static str),
     /// Closes all connections and accepts none for this time.
@@ -161,6 +163,10 @@
     while let Some(request) = receive(&mut reader)? {
         let (status, headers, body) = match handler(request) {
             Reply::Answer { status, headers, body } => (status, headers, body),
+            Reply::Bytes(bytes) => {
+                writer.write_all(bytes.as_bytes())?;
+                continue;
+            }
             Reply::Cut(bytes) => {
                 writer.write_all(bytes.as_bytes())?;
                 return Ok(None);
--- a/crates/standins/src/site/server.rs
+++ b/crates/standins/src/site/server.rs
@@ -25,6 +25,8 @@
     Shed,
     /// Runs the request and answers under the identifier of another one.
     Foreign,
+    /// Runs the request, answers with these bytes and keeps the connection open.
+    Bytes(&'static str),
     /// Runs the request and answers with these bytes, the second again and again without end.
     Endless(&'static str, &'static str),
 }
@@ -191,6 +193,7 @@
         }
         Answering::Foreign => signed("another".to_owned()),
         Answering::Cut(bytes) => Reply::Cut(bytes),
+        Answering::Bytes(bytes) => Reply::Bytes(bytes),
         Answering::StaleRefusal(earlier) => {
             let mut headers = vec![("not-executed".to_owned(), "1".to_owned())];
             headers.extend(earlier.map(|it| ("request-id".to_owned(), it.to_owned())));
