Hold a long request body once, and divide it between daemons

Cause: the body was copied when the parser's buffer grew and once more into the encoded message to the other daemon, and long bodies of several callers were not counted together.

The receiver reserves the whole length in its budget of memory before it reads on, or refuses the request at once as not run; the sender leaves a reply unread until there is memory.

--- a/crates/rpc/src/fleet.rs
+++ b/crates/rpc/src/fleet.rs
@@ -17,16 +17,19 @@
     task::{self, JoinHandle},
 };
 use async_trait::async_trait;
-use futures_lite::StreamExt;
+use bytes::Bytes;
+use futures_lite::{Stream, StreamExt, stream};
 use hyper::{
     body::Incoming,
     client::conn::http2::{Builder as ClientBuilder, SendRequest},
     server::conn::http2::Builder as ServerBuilder,
     service::service_fn,
 };
-use shallottack_http::{ConnectionGuard, PacedStream, spawn_connection};
+use shallottack_http::{
+    Body, BodyBuffer, ConnectionGuard, Kind, MemoryBudget, PacedStream, spawn_connection,
+};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
-use tonic::{Request, Response, Status, body::Body};
+use tonic::{Request, Response, Status, Streaming, body::Body as RpcBody};
 use tower_service::Service;
 
 use crate::{
@@ -38,9 +41,8 @@
     io::Spawner,
 };
 
-/// Largest encoded frame in bytes: the largest body that the platform's configurations allow,
-/// 64 MiB, and room for its head.
-const MAX_FRAME_BYTES: usize = 65 * 1024 * 1024;
+/// Largest encoded message in bytes: a whole configuration and the descriptions of all daemons.
+const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
 /// Time limit for opening a connection. A round trip within a region takes a few milliseconds; a
 /// lost first packet is sent again only after one second, too late for most requests.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -71,8 +73,12 @@
 /// Handler of received calls.
 #[async_trait]
 pub trait FleetHandler: Send + Sync + 'static {
-    /// Runs a request at the backend server on the same VM as this daemon.
-    async fn run(&self, frame: Frame) -> Result<Frame, String>;
+    /// Runs a request with a head and a body at the backend server on the same VM as this daemon.
+    async fn run(&self, head: Bytes, body: Body) -> Result<(Vec<u8>, Body), String>;
+    /// Refuses a request for whose body there is no memory; returns the head of the reply.
+    fn refuse(&self, head: Bytes) -> Result<Vec<u8>, String>;
+    /// Returns the budget of the memory for bodies.
+    fn memory(&self) -> &MemoryBudget;
     /// Exchanges configuration, members, load and evidence.
     async fn sync(&self, frame: Frame) -> Result<Frame, String>;
 }
@@ -84,11 +90,11 @@
 
 #[derive(Clone)]
 struct Channel {
-    sender: SendRequest<Body>,
+    sender: SendRequest<RpcBody>,
     _connection: ConnectionGuard,
 }
 
-impl Service<http::Request<Body>> for Channel {
+impl Service<http::Request<RpcBody>> for Channel {
     type Response = http::Response<Incoming>;
     type Error = Box<dyn Error + Send + Sync>;
     type Future = Pin<Box<dyn Future<Output = Result<Self::Response, Self::Error>> + Send>>;
@@ -99,7 +105,7 @@
         Poll::Ready(Ok(()))
     }
 
-    fn call(&mut self, request: http::Request<Body>) -> Self::Future {
+    fn call(&mut self, request: http::Request<RpcBody>) -> Self::Future {
         let sent = self.sender.try_send_request(request);
         Box::pin(async move {
             sent.await.map_err(|mut error| match error.take_message() {
@@ -111,21 +117,41 @@
 }
 
 /// Connections to the other daemons of a fleet.
-#[derive(Default)]
 pub struct FleetPeers {
     open: Mutex<HashMap<SocketAddr, Channel>>,
+    /// Budget of the memory for the bodies of replies.
+    memory: MemoryBudget,
 }
 
 impl FleetPeers {
-    /// Runs a request at the backend server on the same VM as the daemon at `to`.
+    /// Creates the client without connections.
+    pub fn new(memory: MemoryBudget) -> FleetPeers {
+        FleetPeers { open: Mutex::default(), memory }
+    }
+
+    /// Runs a request at the backend server on the same VM as the daemon at `to`. Returns the head and
+    /// the body of the reply.
     ///
     /// # Errors
     ///
     /// Returns [`PeerError`], which tells whether the call may have reached the daemon.
-    pub async fn run(&self, to: SocketAddr, head: Vec<u8>, body: bytes::Bytes) -> PeerResult {
+    pub async fn run(
+        &self,
+        to: SocketAddr,
+        head: Vec<u8>,
+        body: Body,
+    ) -> Result<(Bytes, Body), PeerError> {
         let mut client = self.client(to).await?;
-        let reply = client.run(frame(head, body)).await;
-        self.finish(to, reply)
+        let reply = client.run(stream::iter(frames(head, body))).await;
+        let mut frames = self.finish(to, reply)?;
+        let cut = |it: Status| PeerError::Cut(it.to_string());
+        let first = first_frame(&mut frames).await.map_err(cut)?;
+        let mut reservation = self.memory.open(Kind::Response);
+        let length = first.body_bytes as usize;
+        let reserved = reservation.grow(length).await;
+        reserved.map_err(|it| PeerError::Cut(it.to_string()))?;
+        let (head, body) = receive(first, &mut frames).await.map_err(cut)?;
+        Ok((head, body.holding(reservation)))
     }
 
     /// Exchanges configuration, members, load and evidence with the daemon at `to`, in at most
@@ -137,7 +163,7 @@
     pub async fn sync(&self, to: SocketAddr, head: Vec<u8>, within: Duration) -> PeerResult {
         let exchange = async {
             let mut client = self.client(to).await?;
-            let reply = client.sync(frame(head, bytes::Bytes::new())).await;
+            let reply = client.sync(frame(head)).await;
             self.finish(to, reply)
         };
         match timeout(within, exchange).await {
@@ -188,7 +214,11 @@
         Ok(channel)
     }
 
-    fn finish(&self, to: SocketAddr, reply: Result<Response<Frame>, Status>) -> PeerResult {
+    fn finish<T>(
+        &self,
+        to: SocketAddr,
+        reply: Result<Response<T>, Status>,
+    ) -> Result<T, PeerError> {
         let status = match reply {
             Ok(reply) => return Ok(reply.into_inner()),
             Err(status) => status,
@@ -205,40 +235,89 @@
     }
 }
 
-/// Result of a call to another daemon.
+/// Result of an exchange with another daemon.
 pub type PeerResult = Result<Frame, PeerError>;
 
-fn frame(head: Vec<u8>, body: bytes::Bytes) -> Frame {
-    Frame { protocol: PROTOCOL, head: head.into(), body }
+fn frame(head: Vec<u8>) -> Frame {
+    Frame { protocol: PROTOCOL, head: head.into(), body: Bytes::new(), body_bytes: 0 }
 }
 
-fn unsent(error: impl std::fmt::Display) -> PeerError {
-    PeerError::Unsent(error.to_string())
+/// Divides a message into frames of one piece of the body each, which are encoded one by one.
+fn frames(head: Vec<u8>, mut body: Body) -> impl Iterator<Item = Frame> + Send {
+    let body_bytes = body.len() as u64;
+    let first = Frame { body: body.next_piece().unwrap_or_default(), body_bytes, ..frame(head) };
+    let rest = std::iter::from_fn(move || body.next_piece());
+    std::iter::once(first).chain(rest.map(|it| Frame { body: it, ..frame(Vec::new()) }))
 }
 
-struct FleetService<H>(Arc<H>);
+/// Receives the first frame of a message.
+async fn first_frame(frames: &mut Streaming<Frame>) -> Result<Frame, Status> {
+    let first = frames.message().await?;
+    let first = first.ok_or_else(|| Status::invalid_argument("message without a frame"))?;
+    check_protocol(&first)?;
+    Ok(first)
+}
 
-impl<H> FleetService<H> {
-    fn check_protocol(frame: &Frame) -> Result<(), Status> {
-        if frame.protocol == PROTOCOL {
-            return Ok(());
+/// Receives the rest of a message whose memory is reserved.
+async fn receive(first: Frame, frames: &mut Streaming<Frame>) -> Result<(Bytes, Body), Status> {
+    let length = first.body_bytes as usize;
+    let mut buffer = BodyBuffer::default();
+    let mut left = length.checked_sub(first.body.len());
+    if left != Some(0) {
+        buffer.extend(&first.body);
+    }
+    while let Some(frame) = frames.message().await? {
+        left = left.and_then(|it| it.checked_sub(frame.body.len()));
+        if left.is_none() {
+            break;
         }
-        let detail = format!("protocol {}, expected {PROTOCOL}", frame.protocol);
-        Err(Status::failed_precondition(detail))
+        buffer.extend(&frame.body);
+    }
+    if left != Some(0) {
+        return Err(Status::invalid_argument("body of another length than stated"));
     }
+    let body = if buffer.is_empty() { Body::from(first.body) } else { buffer.finish() };
+    Ok((first.head, body))
 }
 
+fn check_protocol(frame: &Frame) -> Result<(), Status> {
+    if frame.protocol == PROTOCOL {
+        return Ok(());
+    }
+    let detail = format!("protocol {}, expected {PROTOCOL}", frame.protocol);
+    Err(Status::failed_precondition(detail))
+}
+
+fn unsent(error: impl std::fmt::Display) -> PeerError {
+    PeerError::Unsent(error.to_string())
+}
+
+struct FleetService<H>(Arc<H>);
+
 #[async_trait]
 impl<H: FleetHandler> Fleet for FleetService<H> {
-    async fn run(&self, request: Request<Frame>) -> Result<Response<Frame>, Status> {
-        let frame = request.into_inner();
-        Self::check_protocol(&frame)?;
-        self.0.run(frame).await.map(Response::new).map_err(Status::invalid_argument)
+    type RunStream = Pin<Box<dyn Stream<Item = Result<Frame, Status>> + Send>>;
+
+    async fn run(
+        &self,
+        request: Request<Streaming<Frame>>,
+    ) -> Result<Response<Self::RunStream>, Status> {
+        let mut messages = request.into_inner();
+        let first = first_frame(&mut messages).await?;
+        let mut reservation = self.0.memory().open(Kind::Request);
+        let reply = if reservation.try_grow(first.body_bytes as usize) {
+            let (head, body) = receive(first, &mut messages).await?;
+            self.0.run(head, body.holding(reservation)).await
+        } else {
+            self.0.refuse(first.head).map(|it| (it, Body::default()))
+        };
+        let (head, body) = reply.map_err(Status::invalid_argument)?;
+        Ok(Response::new(Box::pin(stream::iter(frames(head, body).map(Ok)))))
     }
 
     async fn sync(&self, request: Request<Frame>) -> Result<Response<Frame>, Status> {
         let frame = request.into_inner();
-        Self::check_protocol(&frame)?;
+        check_protocol(&frame)?;
         self.0.sync(frame).await.map(Response::new).map_err(Status::invalid_argument)
     }
 }
--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -31,7 +31,7 @@
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// `Retry-After` of a request for which no memory was free; most of those that hold it have ended by
 /// then.
-const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+pub const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Time after the deadline in which the daemon beside the backend server can still report the
 /// outcome.
 const REPLY_SLACK: Duration = Duration::from_millis(60);
@@ -427,10 +427,10 @@
         drop(shared);
         return interpret_outcome(run_outcome, call.body.len(), body);
     }
-    let exchange = node.peers.run(target.address, encode(&request), call.body.to_bytes());
+    let exchange = node.peers.run(target.address, encode(&request), call.body.clone());
     let within = left + REPLY_SLACK;
-    let frame = match async_std::future::timeout(within, exchange).await {
-        Ok(Ok(frame)) => frame,
+    let (head, body) = match async_std::future::timeout(within, exchange).await {
+        Ok(Ok(reply)) => reply,
         Ok(Err(PeerError::Unsent(reason))) => return (Outcome::Unreachable, None, reason),
         Ok(Err(PeerError::Cut(reason))) => return (Outcome::Cut, None, reason),
         Err(_) => {
@@ -438,7 +438,7 @@
             return (Outcome::TimedOut { ran: true }, None, reason);
         }
     };
-    match decode::<RunReply>(&frame.head) {
+    match decode::<RunReply>(&head) {
         Ok(reply) => {
             if reply.vm != *vm {
                 // The address now belongs to another VM.
@@ -448,11 +448,11 @@
             let ended = node.now();
             let transfer = ended.since(now).saturating_sub(reply.elapsed);
             let mut shared = node.shared();
-            shared.placement.record_transit(ended, vm, transfer, frame.body.len());
+            shared.placement.record_transit(ended, vm, transfer, body.len());
             shared.placement.record_gate(ended, vm, &call.route.name, reply.lowest);
             drop(shared);
             node.check_versions(&reply.vm, reply.versions);
-            interpret_outcome(reply.outcome, call.body.len(), frame.body.into())
+            interpret_outcome(reply.outcome, call.body.len(), body)
         }
         Err(reason) => (Outcome::Cut, None, reason),
     }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -196,10 +196,10 @@
         };
         Arc::new(Node {
             backend: BackendClient::new(settings.backend, memory.clone()),
-            memory,
             settings,
             clock,
-            peers: FleetPeers::default(),
+            peers: FleetPeers::new(memory.clone()),
+            memory,
             events,
             in_progress: AtomicUsize::new(0),
             publish_signal: bounded(1),
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -9,12 +9,13 @@
 use shallottack_fleet::{
     Admission, Arrival, RepeatCause, RequestKey, RunEnd, Standing, StartedRun, TaskId,
 };
-use shallottack_http::Body;
+use shallottack_http::{Body, MemoryBudget};
 use shallottack_kernel::{ErrorKind, Time};
 use shallottack_rpc::{FleetHandler, Frame, PROTOCOL};
 
 use crate::{
     backend::{BackendRequest, BackendResponse, ExchangeOutcome},
+    callers::MEMORY_RETRY_AFTER,
     events::Event,
     in_progress::InProgressGuard,
     message::{RunOutcome, RunReply, RunRequest, decode, encode},
@@ -33,13 +34,13 @@
 
 #[async_trait]
 impl FleetHandler for PeerService {
-    async fn run(&self, frame: Frame) -> Result<Frame, String> {
-        let mut request: RunRequest = decode(&frame.head)?;
+    async fn run(&self, head: Bytes, body: Body) -> Result<(Vec<u8>, Body), String> {
+        let mut request: RunRequest = decode(&head)?;
         let _progress = InProgressGuard::new(&self.0);
         let arrived = self.0.now();
         request.left = self.0.time_before_stop(arrived, request.left);
         let next = new_arrival(TaskId::default(), arrived, &request);
-        let (outcome, body) = run(&self.0, request, frame.body.into()).await;
+        let (outcome, body) = run(&self.0, request, body).await;
         let held = self.0.shared().link.send(self.0.now(), body.len());
         if !held.is_zero() {
             metrics::histogram!("shallottack_link_wait_seconds").record(held.as_secs_f64());
@@ -53,12 +54,44 @@
             lowest: self.0.lowest_ticket(arrived, next),
             versions: self.0.versions(),
         };
-        Ok(Frame { protocol: PROTOCOL, head: encode(&reply).into(), body: body.to_bytes() })
+        Ok((encode(&reply), body))
+    }
+
+    fn refuse(&self, head: Bytes) -> Result<Vec<u8>, String> {
+        let request: RunRequest = decode(&head)?;
+        let arrived = self.0.now();
+        let next = new_arrival(TaskId::default(), arrived, &request);
+        let (kind, retry_after) = (ErrorKind::Overloaded, MEMORY_RETRY_AFTER);
+        let load = self.0.load();
+        self.0.events.write(&Event::Refused {
+            id: &request.id,
+            kind: kind.as_str(),
+            running: load.running,
+            queued: load.queued,
+            limit: load.limit,
+            retry_after_ms: retry_after.as_millis() as u64,
+            waited_ms: 0,
+        });
+        metrics::counter!("shallottack_refused_total", "kind" => kind.as_str()).increment(1);
+        let reply = RunReply {
+            elapsed: Duration::ZERO,
+            vm: self.0.settings.vm.clone(),
+            outcome: RunOutcome::Refused { kind, retry_after },
+            load,
+            lowest: self.0.lowest_ticket(arrived, next),
+            versions: self.0.versions(),
+        };
+        Ok(encode(&reply))
+    }
+
+    fn memory(&self) -> &MemoryBudget {
+        &self.0.memory
     }
 
     async fn sync(&self, frame: Frame) -> Result<Frame, String> {
         let reply = self.0.handle_sync(&decode(&frame.head)?);
-        Ok(Frame { protocol: PROTOCOL, head: encode(&reply).into(), body: Bytes::new() })
+        let head = encode(&reply).into();
+        Ok(Frame { protocol: PROTOCOL, head, body: Bytes::new(), body_bytes: 0 })
     }
 }
 
