Wait for all backend servers before a fleet test begins

fleet::shed_request_goes_to_another_server failed in the whole suite on the former code: 0 of 8 orders at the second server, all ten answered with 200 or 429. The test waited until the caller's daemon knew all daemons; a daemon is known, by its first exchange, before its backend server has sent a heartbeat there, so that the server that refuses could be the only one known.

Tests with a fleet now also wait until each backend server has run a request, which asks for more than before.

--- a/crates/shallottackd/tests/suite/fleet.rs
+++ b/crates/shallottackd/tests/suite/fleet.rs
@@ -215,6 +215,11 @@
     eventually("all daemons are known", || {
         shop.metric("shallottack_members") == 1 + stock.len() as u64
     });
+    // A daemon is known before its backend server is.
+    eventually("all backend servers are used", || {
+        assert_eq!(shop.get("/count/1", "warm").status, 200);
+        stock.iter().all(|it| !it.server.runs().is_empty())
+    });
     (store, shop, stock)
 }
 
