--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -2,15 +2,12 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request};
+use http::{HeaderMap, Request, Response, StatusCode, header, request};
 use shallottack_fleet::{
     CallOrigin, Choice, Configuration, Match, Next, Outcome, PlacementRequest, RateLimit,
     RepeatCause, RequestKey, Route, SendHistory, Server, TaskId, VersionFilter,
 };
-use shallottack_http::{
-    Application, Body, ConnectionLimits, ERROR_HEADER, MemoryBudget, ParseError, RUN_HEADER,
-    SizeLimits,
-};
+use shallottack_http::{Application, Body, ConnectionLimits, MemoryBudget, ParseError, SizeLimits};
 use shallottack_kernel::{EndpointId, ErrorKind, Run, ServiceName, Time};
 use shallottack_rpc::PeerError;
 use shallottack_site::headers;
@@ -20,6 +17,7 @@
     in_progress::InProgressGuard,
     message::{RunOutcome, RunReply, RunRequest, decode, encode},
     node::{Node, Shared},
+    rejection::{MEMORY_RETRY_AFTER, error_response, reject},
     relay,
     repeats::log_repeat,
 };
@@ -29,9 +27,6 @@
 /// `Retry-After` of a daemon without a configuration; a healthy store answers within
 /// milliseconds.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
-/// `Retry-After` of a request for which no memory was free; most of those that hold it have ended by
-/// then.
-pub const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Time after the deadline in which the daemon beside the backend server can still report the
 /// outcome.
 const REPLY_SLACK: Duration = Duration::from_millis(60);
@@ -554,48 +549,3 @@
         }
     }
 }
-
-/// Rejects a request before placement.
-fn reject(
-    node: &Node,
-    id: &str,
-    began: Time,
-    kind: ErrorKind,
-    retry_after: Duration,
-    reason: &str,
-) -> Response<Body> {
-    metrics::counter!("shallottack_refused_total", "kind" => kind.as_str()).increment(1);
-    node.events.write(&Event::Rejected {
-        id,
-        route: "",
-        kind: kind.as_str(),
-        status: kind.answer().status,
-        ran: false,
-        reason,
-        retry_after_ms: retry_after.as_millis() as u64,
-        sends: 0,
-        arrivals: 0,
-        ms: node.now().since(began).as_millis() as u64,
-        config: node.config_version(),
-    });
-    error_response(id, kind, retry_after)
-}
-
-fn error_response(id: &str, kind: ErrorKind, retry_after: Duration) -> Response<Body> {
-    let answer = kind.answer();
-    let mut response = Response::new(Body::default());
-    *response.status_mut() =
-        StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let response_headers = response.headers_mut();
-    let run = if answer.run == Run::No { "no" } else { "unknown" };
-    response_headers.insert(ERROR_HEADER, HeaderValue::from_static(kind.as_str()));
-    response_headers.insert(RUN_HEADER, HeaderValue::from_static(run));
-    if answer.retry_after {
-        response_headers.insert(header::RETRY_AFTER, headers::retry_after(retry_after));
-    }
-    // The identifier was read from a header, so it is a valid header value.
-    if let Ok(id) = HeaderValue::from_str(id) {
-        response_headers.insert(headers::REQUEST_ID, id);
-    }
-    response
-}
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -19,6 +19,7 @@
 mod message;
 mod node;
 mod publish;
+mod rejection;
 mod relay;
 mod repeats;
 mod rollouts;
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -15,11 +15,11 @@
 
 use crate::{
     backend::{BackendRequest, BackendResponse, ExchangeOutcome},
-    callers::MEMORY_RETRY_AFTER,
     events::Event,
     in_progress::InProgressGuard,
     message::{RunOutcome, RunReply, RunRequest, decode, encode},
     node::{Node, SlotDecision},
+    rejection::MEMORY_RETRY_AFTER,
     repeats::{check_calls, log_calls},
 };
 
