Keep connections without a request when memory is short

A connection on which no request had begun to arrive was answered 429 when no memory was free for half a second, without a request that the answer belongs to. It now waits on, and the request stays in the socket.

idle_connection_is_refused_for_lack_of_memory guards the first one.

--- a/crates/http/src/memory/ledger.rs
+++ b/crates/http/src/memory/ledger.rs
@@ -193,7 +193,8 @@
         let mut blocked = false;
         for ticket in std::mem::take(&mut self.waiting) {
             let Some(holder) = self.holders.get(&ticket) else { continue };
-            let (wanted, short) = (holder.wanted, holder.wanted <= SHORT_BYTES);
+            // It may have grown without waiting in the meantime.
+            let (wanted, short) = (holder.wanted.max(holder.held), holder.wanted <= SHORT_BYTES);
             if (short || !blocked) && self.fits(holder, wanted) {
                 self.set(ticket, wanted);
                 granted.push(ticket);
--- a/crates/http/src/pipeline/mod.rs
+++ b/crates/http/src/pipeline/mod.rs
@@ -228,15 +228,14 @@
 
     /// Hands the memory of a complete request over to its body.
     fn attach_memory(&mut self, request: Request<Body>) -> Request<Body> {
-        let mut next = self.application.memory().open(Kind::Request);
-        // What was read ahead was part of the memory of the request, so there is room for it as a
-        // rule; otherwise the next read waits for room.
-        let rest = self.bytes.len();
         if request.body().is_empty() {
             return request;
         }
+        let mut next = self.application.memory().open(Kind::Request);
         self.reservation.shrink(request.body().len());
-        next.try_grow(rest);
+        // There is room for what was read ahead as a rule, since it was part of the memory of the
+        // request; otherwise the next read waits for room.
+        next.try_grow(self.bytes.len());
         let reservation = std::mem::replace(&mut self.reservation, next);
         request.map(|it| it.holding(reservation))
     }
@@ -352,7 +351,9 @@
                     self.wait_start = Instant::now();
                 }
             }
-            Event::NoMemory => self.reject(ParseError::NoMemory),
+            Event::NoMemory if partial => self.reject(ParseError::NoMemory),
+            // Nobody waits for an answer; the next request stays in the socket.
+            Event::NoMemory => {}
             Event::Stopped => self.draining = true,
             Event::Expired => return Ok(Step::Closed),
         }
--- a/crates/http/tests/suite/memory.rs
+++ b/crates/http/tests/suite/memory.rs
@@ -68,6 +68,24 @@
     assert_eq!(ledger.grow(ticket, 68 * MIB), Growth::Granted);
 }
 
+/// Guards against a message that grows without waiting while it still has its turn, and ends the
+/// process when its turn comes.
+#[test]
+fn turn_of_a_message_that_has_grown_is_counted_twice() {
+    let mut ledger = Ledger::new(SETTINGS);
+    let first = ledger.open(Kind::Request);
+    assert_eq!(ledger.grow(first, 68 * MIB), Growth::Granted);
+    let waiting = ledger.open(Kind::Request);
+    assert_eq!(ledger.grow(waiting, MIB), Growth::Wait);
+    assert!(ledger.shrink(first, 67 * MIB).contains(&waiting));
+    let second = ledger.open(Kind::Request);
+    assert_eq!(ledger.grow(second, MIB), Growth::Wait);
+    assert!(ledger.try_grow(second, SHORT_BYTES));
+    assert_eq!(ledger.grow(second, 2 * SHORT_BYTES), Growth::Wait);
+    ledger.close(waiting);
+    assert_eq!(ledger.held(), 67 * MIB + 2 * SHORT_BYTES);
+}
+
 proptest! {
     /// Guards against more memory than the budget, and against memory that is not returned.
     #[test]
--- a/crates/http/tests/suite/pipeline.rs
+++ b/crates/http/tests/suite/pipeline.rs
@@ -19,8 +19,8 @@
 use http::{Request, Response, StatusCode, request};
 use proptest::prelude::*;
 use shallottack_http::{
-    Application, Body, ConnectionLimits, MemoryBudget, ParseError, ParseProgress, Parser,
-    SizeLimits, serve_pipelined,
+    Application, Body, BudgetSettings, ConnectionLimits, Kind, MemoryBudget, ParseError,
+    ParseProgress, Parser, SizeLimits, serve_pipelined,
 };
 
 use crate::peer::TEST_TIMEOUT;
@@ -87,9 +87,13 @@
 }
 
 async fn open() -> (Arc<PathEcho>, TcpStream) {
+    open_with(MemoryBudget::unlimited()).await
+}
+
+async fn open_with(memory: MemoryBudget) -> (Arc<PathEcho>, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let echo = Arc::new(PathEcho::default());
+    let echo = Arc::new(PathEcho { memory, ..PathEcho::default() });
     let application = Arc::clone(&echo);
     task::spawn(async move {
         let (stream, _) = listener.accept().await.unwrap();
@@ -116,6 +120,29 @@
         .collect()
 }
 
+/// Guards against a refusal on a connection on which no request has arrived, while memory is short, and
+/// against a request that is never read after that.
+#[test]
+fn idle_connection_is_refused_for_lack_of_memory() {
+    let settings = BudgetSettings { capacity: 8 * 1024, short_share: 0, responses: 8 * 1024 };
+    let memory = MemoryBudget::new(settings);
+    task::block_on(async {
+        let mut held = memory.open(Kind::Request);
+        assert!(held.try_grow(settings.capacity));
+        let (echo, mut stream) = open_with(memory.clone()).await;
+        let mut bytes = [0; 1_024];
+        let read = timeout(Duration::from_millis(1_200), stream.read(&mut bytes)).await;
+        // The idle limit of the connection closes it, without a response.
+        assert!(matches!(read, Ok(Ok(0))), "{read:?}");
+        drop(held);
+        drop(echo);
+        let (_echo, mut stream) = open_with(memory).await;
+        stream.write_all(get("/0").as_bytes()).await.unwrap();
+        let count = timeout(TEST_TIMEOUT, stream.read(&mut bytes)).await.unwrap().unwrap();
+        assert!(bytes[..count].starts_with(b"HTTP/1.1 200"));
+    });
+}
+
 fn get(path: &str) -> String {
     format!("GET {path} HTTP/1.1\r\nhost: a\r\n\r\n")
 }
