Keep a later leave notice when another daemon remembers an earlier one

A daemon keeps one notice of a backend server that sent no heartbeat. The exchange with a daemon that remembers an earlier leave on the same VM replaced it, so that a late heartbeat of the later server would have been taken for a new one.

A notice from the store or from another daemon no longer replaces one of a later incarnation, or one without a start time. The check of who holds a leave stops at two daemons, so that it does not grow with the fleet.

remembered_leave_replaces_a_later_one guards against it; the method that it calls is new, so that it was not run on the code before.

--- a/crates/fleet/src/kept.rs
+++ b/crates/fleet/src/kept.rs
@@ -4,10 +4,6 @@
 
 use shallottack_kernel::EndpointId;
 
-/// Number of other daemons that have to hold a leave before it is acknowledged, unless the store
-/// holds it. With two, it outlives this daemon and another one.
-const HOLDERS: usize = 2;
-
 /// Sequences of the description that the store and other daemons hold.
 #[derive(Debug, Default)]
 pub struct Kept {
@@ -18,6 +14,10 @@
 }
 
 impl Kept {
+    /// Number of other daemons that have to hold a leave before it is acknowledged, unless the store
+    /// holds it. With two, it outlives this daemon and another one.
+    pub const HOLDERS: usize = 2;
+
     /// Records that the store holds the description with this sequence.
     pub fn record_stored(&mut self, sequence: u64) {
         self.stored = self.stored.max(sequence);
@@ -40,9 +40,9 @@
     }
 
     /// Returns whether the leave outlives this daemon; `reachable` is the number of other daemons
-    /// that can be reached.
+    /// that can be reached, counted up to [`Kept::HOLDERS`].
     pub fn is_leave_kept(&self, reachable: usize) -> bool {
         let holders = self.holders.values().filter(|it| **it >= self.leave).count();
-        self.stored >= self.leave || holders >= HOLDERS.min(reachable).max(1)
+        self.stored >= self.leave || holders >= Self::HOLDERS.min(reachable).max(1)
     }
 }
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -152,6 +152,21 @@
         ServerUpdate::Changed
     }
 
+    /// Processes a leave notice that the store or another daemon holds.
+    ///
+    /// It does not replace the notice of a later incarnation, or of an unknown one, which this daemon
+    /// has received itself.
+    pub fn restore_leave(&mut self, now: Time, notice: &LeaveNotice) -> ServerUpdate {
+        let is_current = self.server().is_some_and(|it| it.id == notice.id);
+        let is_later = |it: &LeaveNotice| {
+            it.started_ms.is_none_or(|started_ms| Some(started_ms) >= notice.started_ms)
+        };
+        if !is_current && self.early_leave.as_ref().is_some_and(is_later) {
+            return ServerUpdate::Stale;
+        }
+        self.leave(now, &notice.id, notice.started_ms)
+    }
+
     /// Returns the leave notice that came before any heartbeat.
     pub fn early_leave(&self) -> Option<&LeaveNotice> {
         self.early_leave.as_ref()
--- a/crates/fleet/tests/suite/server.rs
+++ b/crates/fleet/tests/suite/server.rs
@@ -1,6 +1,6 @@
 //! Late, repeated and reordered messages about the backend server.
 
-use shallottack_fleet::{LocalServer, ServerState, ServerUpdate};
+use shallottack_fleet::{LeaveNotice, LocalServer, ServerState, ServerUpdate};
 
 use crate::fixture::{at, beat, id};
 
@@ -90,3 +90,35 @@
     local.leave(at(1), &id("i-1"), Some(5));
     assert!(local.is_ready());
 }
+
+/// Guards against a leave notice that came before any heartbeat and is replaced by an earlier one that
+/// another daemon remembers.
+#[test]
+fn remembered_leave_replaces_a_later_one() {
+    let notice = |server: &str, started_ms| LeaveNotice { id: id(server), started_ms };
+    let mut local = LocalServer::default();
+    local.leave(at(0), &id("i-2"), Some(9));
+    local.restore_leave(at(1), &notice("i-1", Some(5)));
+    assert_eq!(local.early_leave(), Some(&notice("i-2", Some(9))));
+    local.restore_leave(at(2), &notice("i-3", Some(12)));
+    assert_eq!(local.early_leave(), Some(&notice("i-3", Some(12))));
+    local.leave(at(3), &id("i-4"), None);
+    local.restore_leave(at(4), &notice("i-3", Some(12)));
+    assert_eq!(local.early_leave(), Some(&notice("i-4", None)));
+}
+
+/// Guards against a late heartbeat that brings back a server whose leave another daemon remembers, and
+/// against a remembered leave that ends a later incarnation.
+#[test]
+fn remembered_leave_is_forgotten_or_taken_for_a_later_one() {
+    let notice = LeaveNotice { id: id("i-1"), started_ms: Some(5) };
+    let mut local = LocalServer::default();
+    assert_eq!(local.restore_leave(at(0), &notice), ServerUpdate::Stale);
+    assert_eq!(local.heartbeat(at(1), &beat("i-1", 5, 1, ServerState::Ready)), ServerUpdate::Stale);
+    assert_eq!(
+        local.heartbeat(at(2), &beat("i-1", 6, 1, ServerState::Ready)),
+        ServerUpdate::Changed
+    );
+    local.restore_leave(at(3), &notice);
+    assert!(local.is_ready());
+}
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -77,8 +77,8 @@
     /// Returns the long-poll timeout in a fleet of this many daemons, for a daemon with this rank
     /// among the readers of its data centre.
     ///
-    /// The first reader detects a poll that is lost, and each further one polls half as often as the
-    /// one before it, so that their polls do not begin and end together.
+    /// The first reader detects a poll that is lost. The second one polls less often, and the others as
+    /// rarely as the size of the fleet allows, so that their polls do not begin and end together.
     fn poll_timeout(self, daemons: usize, rank: Option<usize>) -> Duration {
         let largest = CONFIG_POLL_TIMEOUT
             .mul_f64((daemons as f64 / SMALL_FLEET_DAEMONS).clamp(1.0, MAX_TIMEOUT_FACTOR));
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -435,10 +435,8 @@
         let (changed, informed) = {
             let mut shared = self.shared();
             let early = shared.local.early_leave().cloned();
-            let update = notice.map(|it| {
-                let now = self.now();
-                shared.local.leave(now, &it.id, it.started_ms)
-            });
+            let now = self.now();
+            let update = notice.map(|it| shared.local.restore_leave(now, it));
             let changed = update == Some(ServerUpdate::Changed)
                 || early.as_ref() != shared.local.early_leave();
             (changed, std::mem::replace(&mut shared.informed, true))
@@ -454,7 +452,7 @@
         let members = shared.directory.members();
         let reachable =
             members.filter(|it| it.vm != shared.own.vm && shared.placement.is_reachable(&it.vm));
-        shared.kept.is_leave_kept(reachable.count())
+        shared.kept.is_leave_kept(reachable.take(Kept::HOLDERS).count())
     }
 
     /// Returns the load of the backend server as it is reported to other daemons.
