--- a/review/stand-2/lib.rs
+++ b/review/stand-2/lib.rs
@@ -747,6 +747,7 @@
 }
 
 pub const SIGTERM: i32 = 15;
+const SIGKILL: i32 = 9;
 
 static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
 
@@ -840,17 +841,27 @@
             .stderr(log)
             .spawn();
         self.child = match child {
-            Ok(child) => Some(child),
+            Ok(child) => {
+                RUNNING.lock().unwrap().push(child.id());
+                Some(child)
+            }
             Err(error) => broken(&format!("the daemon does not start: {error}")),
         };
         self.record.say(&format!("{} starts", self.name));
     }
 
+    /// Ends the process with SIGKILL, if it runs.
+    fn end(&mut self) -> bool {
+        let Some(mut child) = self.child.take() else { return false };
+        RUNNING.lock().unwrap().retain(|it| *it != child.id());
+        let _ = child.kill();
+        let _ = child.wait();
+        true
+    }
+
     /// Ends the process with SIGKILL.
     pub fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
+        if self.end() {
             self.record.say(&format!("{} is killed", self.name));
         }
     }
@@ -871,6 +882,7 @@
             if let Some(child) = &mut self.child
                 && let Ok(Some(_)) = child.try_wait()
             {
+                RUNNING.lock().unwrap().retain(|it| *it != child.id());
                 self.child = None;
                 self.record.say(&format!("{} has ended", self.name));
                 return true;
@@ -898,10 +910,7 @@
 
 impl Drop for Daemon {
     fn drop(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        self.end();
     }
 }
 
@@ -912,8 +921,22 @@
     std::panic::resume_unwind(Box::new(()));
 }
 
+/// Identifiers of the daemon processes that run.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+/// Time after which a case is ended as one that could not run.
+const LONGEST: Duration = Duration::from_secs(110);
+
 /// Runs a case, and ends the process with its status.
 pub fn run_case(case: impl FnOnce() -> i32 + std::panic::UnwindSafe) -> ! {
+    thread::spawn(|| {
+        thread::sleep(LONGEST);
+        for pid in RUNNING.lock().unwrap().iter() {
+            // SAFETY: the process was started by this one and has not been waited for.
+            unsafe { kill(*pid as i32, SIGKILL) };
+        }
+        println!("the case could not run: it took too long");
+        std::process::exit(2);
+    });
     std::process::exit(std::panic::catch_unwind(case).unwrap_or(2));
 }
 
