--- a/review/stand-2/lib.rs
+++ b/review/stand-2/lib.rs
@@ -594,6 +594,8 @@
     extra: Mutex<Vec<(String, String)>>,
     sequence: AtomicU64,
     beating: AtomicBool,
+    ended: AtomicBool,
+    streams: Mutex<Vec<TcpStream>>,
     record: Record,
 }
 
@@ -614,13 +616,43 @@
             extra: Mutex::default(),
             sequence: AtomicU64::new(0),
             beating: AtomicBool::new(true),
+            ended: AtomicBool::new(false),
+            streams: Mutex::default(),
             record: record.clone(),
         });
+        listener.set_nonblocking(true).expect("a listener that does not block");
         let served = Arc::clone(&server);
-        serve(listener, move |stream| served.connection(stream));
+        thread::spawn(move || served.accept(listener));
         server
     }
 
+    /// Accepts connections until the server ends; connections are refused from then on.
+    fn accept(self: Arc<Self>, listener: TcpListener) {
+        while !self.ended.load(SeqCst) {
+            let Ok((stream, _)) = listener.accept() else {
+                thread::sleep(ms(1));
+                continue;
+            };
+            let _ = stream.set_nonblocking(false);
+            if let Ok(copy) = stream.try_clone() {
+                self.streams.lock().unwrap().push(copy);
+            }
+            let server = Arc::clone(&self);
+            thread::spawn(move || server.connection(stream));
+        }
+    }
+
+    /// Ends the server: it closes all connections and accepts none.
+    pub fn exit(&self) {
+        self.stop_beats();
+        self.ended.store(true, SeqCst);
+        sleep(5);
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+        self.record.say(&format!("server {} exits", self.name));
+    }
+
     pub fn set_work(&self, millis: u64) {
         self.work_ms.store(millis, SeqCst);
     }
