review: case 6, more clients

Twice the clients make sure that some requests are placed at the server that had left, also on a busy machine.

--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -37,11 +37,11 @@
     }
     sleep(5_000);
 
-    // Four clients at each of the machines beside b and c, with a payment each at a time.
+    // Eight clients at each of the machines beside b and c, with a payment each at a time.
     let stop = Arc::new(AtomicBool::new(false));
     let clients: Vec<_> = daemons[1..]
         .iter()
-        .flat_map(|it| (0..4).map(|_| (it.callers, it.name.clone())))
+        .flat_map(|it| (0..8).map(|_| (it.callers, it.name.clone())))
         .map(|(callers, name)| {
             let (record, stop) = (record.clone(), Arc::clone(&stop));
             thread::spawn(move || {
