fleet: another process's heartbeat displaces no backend server

Cause: a heartbeat with a later start was final. Neither its service was checked nor whether its sender runs on the VM, and all that the real server sent afterwards was dropped as that of an earlier incarnation.

Evidence: the same heartbeat without any restart, with the service of the VM, and with a start in the year 2100 has the same effect, so that the service alone does not decide; the log has a stale line for each heartbeat of the real server.

Fix: a heartbeat that no server sends (figures out of range, a service that neither the settings nor the configuration name) is answered 400. For any other incarnation than the current one the daemon asks the server with a request that no server runs; its refusal states the identifier, and only that server is used. Between incarnations of one identifier, or without an answer, the one that goes on sending heartbeats is used once the other has been silent for two intervals. A wrong belief lasts three intervals at most.

Tests: foreign::heartbeat_of_another_writer_displaces_the_server (200 where 400 is due) and foreign::start_in_the_future_locks_out_the_server failed with the former daemon. The tests of late messages pass with a server that answers when it is asked. crates shallottackd, sidecar, site and fleet: 255 passed.

--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -1,6 +1,10 @@
 //! The operators' configuration, and route matching.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use rand::{Rng, RngExt};
 use shallottack_kernel::ServiceName;
@@ -106,6 +110,8 @@
     pub limits: Limits,
     /// Organisations that send requests; empty if requests need no key.
     pub organisations: Organisations,
+    /// Services that the configuration lists, or to which a route leads.
+    services: HashSet<ServiceName>,
     cold_limits: HashMap<ServiceName, ColdLimit>,
     hosts: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>>,
     count: usize,
@@ -115,6 +121,8 @@
     /// Creates a configuration from its routes and limits.
     pub fn new(version: u64, routes: Vec<Route>, limits: Limits) -> Configuration {
         let count = routes.len();
+        let targets = routes.iter().flat_map(|it| &it.targets);
+        let services = targets.map(|it| it.service.clone()).collect();
         let mut hosts: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>> = HashMap::new();
         for route in routes {
             let host = hosts.entry(Arc::clone(&route.host)).or_default();
@@ -124,12 +132,27 @@
             version,
             limits,
             organisations: Organisations::default(),
+            services,
             cold_limits: HashMap::new(),
             hosts,
             count,
         }
     }
 
+    /// Adds services to which no route may lead.
+    pub fn with_services(
+        mut self,
+        services: impl IntoIterator<Item = ServiceName>,
+    ) -> Configuration {
+        self.services.extend(services);
+        self
+    }
+
+    /// Returns whether the configuration names a service.
+    pub fn names(&self, service: &ServiceName) -> bool {
+        self.services.contains(service)
+    }
+
     /// Sets the organisations.
     pub fn with_organisations(self, organisations: Organisations) -> Configuration {
         Configuration { organisations, ..self }
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -10,6 +10,7 @@
 mod fan_out;
 mod fetch;
 mod fixture;
+mod foreign;
 mod link;
 mod neighbours;
 mod organisations;
--- a/crates/shallottackd/tests/suite/fleet.rs
+++ b/crates/shallottackd/tests/suite/fleet.rs
@@ -4,6 +4,7 @@
 mod crashing;
 mod endless;
 mod evacuation;
+mod foreign;
 mod leaving;
 mod memory;
 mod odd_entries;
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -187,6 +187,15 @@
     _guard: ConnectionGuard,
 }
 
+/// Response to a request that no backend server runs.
+pub struct ServerStatement {
+    /// The response.
+    pub response: BackendResponse,
+    connection: Connection,
+    /// How long the connection may stay idle.
+    idle: Duration,
+}
+
 struct IdleConnection {
     connection: Connection,
     since: Instant,
@@ -265,6 +274,31 @@
         }
     }
 
+    /// Sends a request that no backend server runs, since its target is none of them, on a connection
+    /// of its own.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why there is no response.
+    pub async fn ask(&self, request: BackendRequest) -> Result<ServerStatement, String> {
+        let left = request.left;
+        let request = build_request(request, self.address)?;
+        let asking = async {
+            let mut connection = self.connect().await?;
+            let response =
+                connection.sender.send_request(request).await.map_err(|it| it.to_string())?;
+            let reservation = self.memory.open(Kind::Response);
+            let (response, idle) = read_response(response, reservation).await?;
+            Ok(ServerStatement { response, connection, idle })
+        };
+        timeout(left, asking).await.unwrap_or_else(|_| Err("no response in time".to_owned()))
+    }
+
+    /// Keeps the connection of a response to [`BackendClient::ask`] for requests.
+    pub fn keep_connection(&self, ServerStatement { connection, idle, .. }: ServerStatement) {
+        self.release(connection, idle);
+    }
+
     /// Returns whether no process accepts connections at the address of the backend server.
     pub async fn refuses_connections(&self) -> bool {
         let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await;
--- a/crates/sidecar/src/events.rs
+++ b/crates/sidecar/src/events.rs
@@ -121,6 +121,12 @@
         sequence: u64,
         row: u64,
     },
+    Identified {
+        server: &'a str,
+        current: &'a str,
+        reason: &'a str,
+        ms: u64,
+    },
     Heartbeat {
         id: &'a str,
         outcome: &'a str,
--- a/crates/sidecar/src/heartbeats.rs
+++ b/crates/sidecar/src/heartbeats.rs
@@ -5,7 +5,7 @@
 use async_std::task;
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
-use shallottack_fleet::{CrashSign, ServerState, ServerUpdate};
+use shallottack_fleet::{Heartbeat, ServerState, ServerUpdate};
 use shallottack_kernel::EndpointId;
 use shallottack_site::{READY_PATH, heartbeat};
 
@@ -44,7 +44,7 @@
 }
 
 async fn handle_heartbeat(node: &Arc<Node>, id: &EndpointId, body: &[u8]) -> Response<Bytes> {
-    let heartbeat = match heartbeat::decode(id.clone(), body) {
+    let heartbeat = match read_heartbeat(node, id, body) {
         Ok(heartbeat) => heartbeat,
         Err(reason) => {
             let (id, outcome) = (id.as_str(), "malformed");
@@ -52,25 +52,13 @@
             return status(StatusCode::BAD_REQUEST);
         }
     };
-    if node.shared().local.is_restart(&heartbeat) {
-        node.record_crash(CrashSign::Restarted);
+    let now = node.now();
+    let (update, replaced) = node.update_server(|local| local.heartbeat(now, &heartbeat));
+    if !replaced && matches!(update, ServerUpdate::Changed | ServerUpdate::Unchanged) {
+        node.record_warmup(&mut node.shared(), heartbeat.server.warmup_left, true);
     }
-    let (update, replaced) = {
-        let mut shared = node.shared();
-        let before = shared.local.server().cloned();
-        let update = shared.local.heartbeat(node.now(), &heartbeat);
-        let same = before.is_some_and(|it| it.is_same_start(&heartbeat.server));
-        let replaced = update == ServerUpdate::Changed && !same;
-        if replaced {
-            shared.reset_server();
-        }
-        if update != ServerUpdate::Stale {
-            node.record_warmup(&mut shared, heartbeat.server.warmup_left, same);
-        }
-        (update, replaced)
-    };
-    if replaced {
-        node.backend.close_idle();
+    if update == ServerUpdate::Unconfirmed {
+        node.identify_server();
     }
     publish_change(node, id, update, "heartbeat");
     if heartbeat.server.state != ServerState::Ready {
@@ -81,6 +69,23 @@
     response
 }
 
+/// Reads a heartbeat, which any process on the VM may have sent.
+///
+/// # Errors
+///
+/// Returns the reason why no backend server that callers may reach sends it.
+fn read_heartbeat(node: &Node, id: &EndpointId, body: &[u8]) -> Result<Heartbeat, String> {
+    let heartbeat = heartbeat::decode(id.clone(), body)?;
+    heartbeat.check()?;
+    let service = &heartbeat.server.service;
+    if !node.names_service(service) {
+        return Err(format!(
+            "neither the settings nor the configuration name the service {service}"
+        ));
+    }
+    Ok(heartbeat)
+}
+
 /// Acknowledges a leave once the store or other daemons hold it, so that a daemon that starts again
 /// on this VM is told of it. Refuses it if that takes too long; the backend server then repeats it.
 async fn acknowledge_leave(node: &Arc<Node>, id: &EndpointId) -> Response<Bytes> {
@@ -104,10 +109,10 @@
 }
 
 /// Publishes a change of the backend server, or logs a stale message.
-fn publish_change(node: &Node, id: &EndpointId, update: ServerUpdate, reason: &str) {
+pub fn publish_change(node: &Node, id: &EndpointId, update: ServerUpdate, reason: &str) {
     match update {
         ServerUpdate::Changed => node.server_changed(reason),
-        ServerUpdate::Unchanged => {}
+        ServerUpdate::Unchanged | ServerUpdate::Unconfirmed => {}
         ServerUpdate::Stale => {
             let id = id.as_str();
             node.events.write(&Event::Heartbeat { id, outcome: "stale", reason });
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -15,6 +15,7 @@
 mod events;
 mod follow;
 mod heartbeats;
+mod identify;
 mod in_progress;
 mod listener;
 pub mod message;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -16,7 +16,7 @@
 };
 use rand::RngExt;
 use shallottack_fleet::{
-    Arrival, Blocklist, ColdSign, Configuration, Delays, Directory, Evacuations, FanOut,
+    Arrival, Blocklist, ColdSign, Configuration, CrashSign, Delays, Directory, Evacuations, FanOut,
     FetchTracker, Kept, LeaveNotice, Link, Load, LocalServer, Member, MergeResult,
     NeighbourSettings, Neighbours, OrganisationLabels, Parents, Placement, QuotaBounds,
     QuotaRestart, Quotas, RateLimit, RejectedCallers, RetryBudget, RetryBudgetSettings, Rollout,
@@ -67,6 +67,8 @@
     pub rejected_callers: RejectedCallers,
     /// The backend server on this VM.
     pub local: LocalServer,
+    /// Whether the backend server is being asked which one it is.
+    pub identifying: bool,
     /// Slots of the backend server on this VM.
     pub slots: Slots,
     /// Messages on the link of this VM.
@@ -204,7 +206,8 @@
             placement,
             tickets: Tickets::default(),
             rejected_callers: RejectedCallers::new(policy.returns),
-            local: LocalServer::default(),
+            local: LocalServer::new(settings.service.clone(), settings.heartbeat),
+            identifying: false,
             slots: Slots::new(policy.slots),
             link: Link::new(own.link_kbps),
             sends: Sends::new(clock.now()),
@@ -282,6 +285,11 @@
         self.config.load_full()
     }
 
+    /// Returns whether the settings or the configuration name a service.
+    pub fn names_service(&self, service: &ServiceName) -> bool {
+        *service == self.settings.service || self.config().is_some_and(|it| it.names(service))
+    }
+
     /// Returns the version of the current configuration, 0 for none.
     pub fn config_version(&self) -> u64 {
         self.config.load().as_ref().map_or(0, |it| it.version)
@@ -464,6 +472,37 @@
         self.publish_signal.0.try_send(()).ok();
     }
 
+    /// Changes what is known of the backend server, and forgets the former one if another incarnation
+    /// runs now.
+    ///
+    /// Returns whether it does, with the effect of the change.
+    pub fn update_server(
+        self: &Arc<Self>,
+        change: impl FnOnce(&mut LocalServer) -> ServerUpdate,
+    ) -> (ServerUpdate, bool) {
+        let (update, former) = {
+            let mut shared = self.shared();
+            let former = shared.local.server().cloned();
+            let was_ready = shared.local.is_ready();
+            let update = change(&mut shared.local);
+            let Some(server) = shared.local.server().cloned() else { return (update, false) };
+            if former.as_ref().is_some_and(|it| it.is_same_start(&server)) {
+                return (update, false);
+            }
+            shared.reset_server();
+            self.record_warmup(&mut shared, server.warmup_left, false);
+            if !was_ready {
+                shared.runs.reset();
+            }
+            (update, former)
+        };
+        if former.is_some() {
+            self.record_crash(CrashSign::Restarted);
+        }
+        self.backend.close_idle();
+        (update, true)
+    }
+
     /// Applies the state of the backend server to the slots and to this daemon's description.
     pub fn server_changed(&self, reason: &str) {
         let server = {
