fleet: a leave that is acknowledged is kept, whichever start it is about

Cause: 200 did not depend on what was done with the message. A daemon kept one leave besides that of its current server, in place of an earlier one, and the others one of each VM, that with the latest start. A drain of another incarnation, or one that arrived late, was dropped.

A leave under the identifier of the current server that states another start stops requests until the next heartbeat of the current one. A drain counts also if it is late. A notice whose body can't be read is answered 400; servers send none. Messages changed, so the protocol number is 8.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -49,8 +49,8 @@
     pub stopping: bool,
     /// Backend server on the VM; `None` before its first heartbeat.
     pub server: Option<Server>,
-    /// Leave notice of a backend server that sent no heartbeat.
-    pub left: Option<LeaveNotice>,
+    /// Leaves of other incarnations than that of the backend server.
+    pub left: SmallVec<[LeaveNotice; 1]>,
     /// Recent crashes of the backend server that no blocked request explains.
     pub crashes: SmallVec<[Crash; 1]>,
     /// What is known about requests that were in progress when backend servers of its service
--- a/crates/fleet/src/leaving.rs
+++ b/crates/fleet/src/leaving.rs
@@ -1,13 +1,15 @@
 //! Backend servers that are leaving, by their responses or by the description of their VM.
 
-use std::{collections::HashMap, time::Duration};
+use std::collections::HashMap;
 
 use shallottack_kernel::{EndpointId, Time};
+use smallvec::SmallVec;
 
-use crate::{LeaveNotice, Member, Placement, Server, candidate::Candidate};
-
-/// Time for which a statement is kept, well above the time that a leaving backend server runs on.
-const RETENTION: Duration = Duration::from_secs(3_600);
+use crate::{
+    LeaveNotice, Member, Placement, Server,
+    candidate::Candidate,
+    leaves::{MAX_LEAVES, RETENTION},
+};
 
 /// Leaves that this daemon knows of.
 ///
@@ -15,54 +17,57 @@
 /// server may start again, and describe it as ready until it is told of the leave.
 #[derive(Debug, Default)]
 pub(crate) struct Leaving {
-    /// Leaving backend server of each VM with the start of its incarnation, and since when it is
-    /// known.
-    servers: HashMap<EndpointId, (EndpointId, u64, Time)>,
+    /// Leaves of each VM, oldest first, and since when each is known. They are not ordered by the
+    /// starts that they state, since the time of day may jump.
+    servers: HashMap<EndpointId, SmallVec<[(LeaveNotice, Time); 1]>>,
 }
 
 impl Leaving {
-    fn record(&mut self, now: Time, vm: &EndpointId, id: &EndpointId, started_ms: u64) {
-        // A late description of an earlier incarnation does not replace the leave of a later one.
-        if self
-            .servers
-            .get(vm)
-            .is_some_and(|it| it.1 > started_ms || (&it.0, it.1) == (id, started_ms))
-        {
+    fn record(&mut self, now: Time, vm: &EndpointId, notice: LeaveNotice) {
+        let known = self.servers.get(vm);
+        if known.is_some_and(|it| it.iter().any(|(it, _)| *it == notice)) {
             return;
         }
-        self.servers.retain(|_, (_, _, time)| now.since(*time) < RETENTION);
-        self.servers.insert(vm.clone(), (id.clone(), started_ms, now));
+        self.servers.retain(|_, known| {
+            known.retain(|(_, since)| now.since(*since) < RETENTION);
+            !known.is_empty()
+        });
+        let known = self.servers.entry(vm.clone()).or_default();
+        if known.len() == MAX_LEAVES {
+            known.remove(0);
+        }
+        known.push((notice, now));
     }
 
     /// Returns whether this incarnation of the backend server of a VM is leaving.
     pub(crate) fn contains(&self, vm: &EndpointId, server: &Server) -> bool {
-        let known = self.servers.get(vm);
-        known.is_some_and(|it| (&it.0, it.1) == (&server.id, server.started_ms))
+        let notice = LeaveNotice { id: server.id.clone(), started_ms: Some(server.started_ms) };
+        self.servers.get(vm).is_some_and(|it| it.iter().any(|(it, _)| *it == notice))
     }
 }
 
 impl Placement {
     /// Records that a response stated that the backend server of a VM is leaving.
     pub fn record_leaving(&mut self, now: Time, vm: &EndpointId, server: &Server) {
-        self.leaving.record(now, vm, &server.id, server.started_ms);
+        let notice = LeaveNotice { id: server.id.clone(), started_ms: Some(server.started_ms) };
+        self.leaving.record(now, vm, notice);
     }
 
-    /// Records the leave that the description of a VM states, if there is one.
+    /// Records the leaves that the description of a VM states.
     ///
-    /// A notice without a start time does not tell which incarnation it is about.
+    /// A notice without a start time does not tell which incarnation it is about. It is held for the
+    /// daemon of that VM only.
     pub fn record_described_leave(&mut self, now: Time, member: &Member) {
         let described = member.server.as_ref().and_then(LeaveNotice::of);
-        for notice in [described.as_ref(), member.left.as_ref()].into_iter().flatten() {
-            if let Some(started_ms) = notice.started_ms {
-                self.leaving.record(now, &member.vm, &notice.id, started_ms);
-            }
+        for notice in described.into_iter().chain(member.left.iter().cloned()) {
+            self.leaving.record(now, &member.vm, notice);
         }
     }
 
-    /// Returns the leave of a backend server that is known for a VM.
-    pub fn known_leave(&self, vm: &EndpointId) -> Option<LeaveNotice> {
-        let (id, started_ms, _) = self.leaving.servers.get(vm)?;
-        Some(LeaveNotice { id: id.clone(), started_ms: Some(*started_ms) })
+    /// Returns the leaves of backend servers that are known for a VM.
+    pub fn known_leaves(&self, vm: &EndpointId) -> SmallVec<[LeaveNotice; 1]> {
+        let known = self.leaving.servers.get(vm);
+        known.into_iter().flatten().map(|(notice, _)| notice.clone()).collect()
     }
 
     /// Returns whether the backend server of a candidate has stated that it is leaving.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,6 +20,7 @@
 mod fetch;
 mod inherited;
 mod kept;
+mod leaves;
 mod leaving;
 mod link;
 mod local_server;
--- a/crates/fleet/src/local_server.rs
+++ b/crates/fleet/src/local_server.rs
@@ -9,11 +9,16 @@
 use shallottack_kernel::{EndpointId, ServiceName, Time};
 use smallvec::SmallVec;
 
-use crate::{Heartbeat, LeaveNotice, Server, ServerState};
+use crate::{
+    Heartbeat, LeaveNotice, Server, ServerState,
+    leaves::{Leaves, Standing},
+};
 
 /// Heartbeats in a row after which an incarnation runs on the VM even if the backend server does not
 /// say so. A late heartbeat comes alone.
 const MIN_HEARTBEATS: u32 = 2;
+/// Heartbeats in a row after which an incarnation that may have left has not.
+const MIN_DOUBTFUL_HEARTBEATS: u32 = 3;
 /// Heartbeat intervals without a heartbeat after which an incarnation may have ended; a heartbeat may
 /// be late by one interval.
 const SILENT_INTERVALS: u32 = 2;
@@ -32,6 +37,8 @@
     /// The message is about another incarnation than the current one; the backend server has to be
     /// asked which one it is.
     Unconfirmed,
+    /// There is no room to keep a leave, which must not be acknowledged.
+    Refused,
 }
 
 /// What the backend server on the same VM states about itself when it is asked.
@@ -53,9 +60,8 @@
     current: Option<Current>,
     /// Other incarnations with recent heartbeats.
     contenders: SmallVec<[Contender; 1]>,
-    /// Leave notice that came before any heartbeat, with the start time of that incarnation once it
-    /// is known.
-    early_leave: Option<LeaveNotice>,
+    /// Leaves of other incarnations than the current one.
+    leaves: Leaves,
 }
 
 #[derive(Debug)]
@@ -65,6 +71,8 @@
     last_heartbeat: Time,
     /// Start of the drain, which lasts for the rest of the incarnation.
     draining_since: Option<Time>,
+    /// Whether another incarnation seems to run in its place. Its next heartbeat says otherwise.
+    doubtful: bool,
 }
 
 /// An incarnation that sends heartbeats, but is not the current one.
@@ -75,6 +83,8 @@
     received: Time,
     /// Number of its heartbeats since the last one of the current incarnation.
     count: u32,
+    /// Whether a server with its identifier has left since its last heartbeat.
+    doubtful: bool,
 }
 
 impl LocalServer {
@@ -86,19 +96,13 @@
             silence: interval * SILENT_INTERVALS,
             current: None,
             contenders: SmallVec::new(),
-            early_leave: None,
+            leaves: Leaves::default(),
         }
     }
 
     /// Processes a heartbeat.
     pub fn heartbeat(&mut self, now: Time, beat: &Heartbeat) -> ServerUpdate {
-        if let Some(notice) = &mut self.early_leave
-            && notice.id == beat.server.id
-            // A leave notice without a start time is about the first incarnation seen afterwards.
-            && beat.server.started_ms <= *notice.started_ms.get_or_insert(beat.server.started_ms)
-        {
-            return ServerUpdate::Stale;
-        }
+        let drains = beat.server.state != ServerState::Ready;
         let current = self.current.as_mut();
         if let Some(current) = current.filter(|it| it.server.is_same_start(&beat.server)) {
             if current.has_left() {
@@ -108,6 +112,24 @@
                 self.contenders.iter_mut().for_each(|it| it.count = it.count.min(1));
                 return current.update(now, beat);
             }
+            // A drain lasts for the rest of the incarnation, also if it is stated late.
+            if drains {
+                return current.drain(now);
+            }
+        } else if drains {
+            // Kept as a leave, since the answer to the heartbeat acknowledges it.
+            if let Some(notice) = LeaveNotice::of(&beat.server) {
+                self.end_contenders(now, &notice);
+                if !self.leaves.record(now, notice) {
+                    return ServerUpdate::Refused;
+                }
+            }
+            if let Some(current) = self.current.as_mut().filter(|it| it.server.id == beat.server.id)
+            {
+                current.doubt();
+            }
+        } else if self.leaves.standing(&beat.server) == Standing::Left {
+            return ServerUpdate::Stale;
         }
         self.contend(now, beat)
     }
@@ -125,33 +147,37 @@
                 }
                 (contender.beat, contender.received) = (beat.clone(), now);
                 contender.count += 1;
+                contender.doubtful = false;
                 at
             }
-            None => {
-                self.forget_contender();
-                self.contenders.push(Contender { beat: beat.clone(), received: now, count: 1 });
-                self.contenders.len() - 1
-            }
+            None => self.add_contender(Contender::new(now, beat.clone())),
         };
         let drains = beat.server.state != ServerState::Ready;
         // A server that drains gets no requests, whichever incarnation it is.
         if self.current.is_none() && drains {
             return self.adopt(at);
         }
-        if self.contenders[at].count >= MIN_HEARTBEATS && self.is_silent(now) {
+        let needed = match self.leaves.standing(&beat.server) {
+            Standing::Doubtful => MIN_DOUBTFUL_HEARTBEATS,
+            Standing::Free | Standing::Left => MIN_HEARTBEATS,
+        };
+        if self.contenders[at].count >= needed && self.is_silent(now) {
             return self.adopt(at);
         }
         let same = self.server().is_some_and(|it| it.is_same_start(&beat.server));
         if same { ServerUpdate::Stale } else { ServerUpdate::Unconfirmed }
     }
 
-    /// Makes room for another contender.
-    fn forget_contender(&mut self) {
+    /// Adds a contender, in place of the one that has been silent for longest if there are many.
+    /// Returns its position.
+    fn add_contender(&mut self, contender: Contender) -> usize {
         if self.contenders.len() == MAX_CONTENDERS {
             let received = self.contenders.iter().map(|it| it.received);
             let oldest = received.enumerate().min_by_key(|it| it.1).map_or(0, |it| it.0);
             self.contenders.remove(oldest);
         }
+        self.contenders.push(contender);
+        self.contenders.len() - 1
     }
 
     /// Processes what the backend server stated when it was asked, after
@@ -162,9 +188,26 @@
         self.contenders.retain(|it| it.beat.server.id == *id);
         let mut candidates: SmallVec<[usize; 1]> = (0..self.contenders.len()).collect();
         candidates.retain(|at| self.precedes(&self.contenders[*at].beat.server));
-        match candidates.into_iter().max_by_key(|at| self.contenders[*at].received) {
-            Some(at) => self.adopt(at),
-            None => ServerUpdate::Unchanged,
+        candidates.retain(|at| self.is_sound(*at));
+        if let Some(at) = candidates.into_iter().max_by_key(|at| self.contenders[*at].received) {
+            return self.adopt(at);
+        }
+        match &mut self.current {
+            Some(current) if current.server.id != *id => current.doubt(),
+            _ => ServerUpdate::Unchanged,
+        }
+    }
+
+    /// Returns whether no leave is about a contender, or it has gone on running since.
+    fn is_sound(&mut self, at: usize) -> bool {
+        let Contender { beat, count, doubtful, .. } = &self.contenders[at];
+        if *doubtful {
+            return false;
+        }
+        match self.leaves.standing(&beat.server) {
+            Standing::Free => true,
+            Standing::Doubtful => *count >= MIN_DOUBTFUL_HEARTBEATS,
+            Standing::Left => beat.server.state != ServerState::Ready,
         }
     }
 
@@ -182,13 +225,27 @@
     fn adopt(&mut self, at: usize) -> ServerUpdate {
         let Contender { beat: Heartbeat { mut server, sequence }, received, .. } =
             self.contenders.remove(at);
-        let same = self.current.take_if(|it| it.server.is_same_start(&server));
+        let former = self.current.take();
+        let same = former.as_ref().filter(|it| it.server.is_same_start(&server));
         let drains = server.state != ServerState::Ready;
         let draining_since = same.and_then(|it| it.draining_since).or(drains.then_some(received));
         if draining_since.is_some() {
             server.state = ServerState::Draining;
         }
-        self.current = Some(Current { server, sequence, last_heartbeat: received, draining_since });
+        if server.state == ServerState::Ready {
+            self.leaves.refute(&server.id);
+        }
+        let left = former.filter(|it| !it.server.is_same_start(&server));
+        if let Some(notice) = left.and_then(|it| LeaveNotice::of(&it.server)) {
+            self.leaves.record_ended(received, notice);
+        }
+        self.current = Some(Current {
+            server,
+            sequence,
+            last_heartbeat: received,
+            draining_since,
+            doubtful: false,
+        });
         ServerUpdate::Changed
     }
 
@@ -201,50 +258,72 @@
     ///
     /// `started_ms` is the start time of the incarnation, if the notice states it.
     pub fn leave(&mut self, now: Time, id: &EndpointId, started_ms: Option<u64>) -> ServerUpdate {
-        let Some(current) = self.current.as_mut().filter(|it| it.server.id == *id) else {
-            self.early_leave = Some(LeaveNotice { id: id.clone(), started_ms });
-            return ServerUpdate::Stale;
-        };
-        if started_ms.is_some_and(|it| it < current.server.started_ms) {
-            return ServerUpdate::Stale;
+        let notice = LeaveNotice { id: id.clone(), started_ms };
+        self.end_contenders(now, &notice);
+        match self.current.as_mut().filter(|it| it.server.id == *id) {
+            Some(current) if notice.is_about(&current.server) => current.leave(now),
+            _ if !self.leaves.record(now, notice) => ServerUpdate::Refused,
+            Some(current) => current.doubt(),
+            None => ServerUpdate::Stale,
         }
-        current.draining_since.get_or_insert(now);
-        if current.has_left() {
-            return ServerUpdate::Unchanged;
+    }
+
+    /// Doubts the contenders with the identifier of a server that leaves, and records the leave of those
+    /// that the notice may be about. A notice without a start is about the incarnation that runs now,
+    /// whichever that is.
+    fn end_contenders(&mut self, now: Time, notice: &LeaveNotice) {
+        let leaves = &mut self.leaves;
+        for contender in self.contenders.iter_mut().filter(|it| it.beat.server.id == notice.id) {
+            let server = &contender.beat.server;
+            contender.doubtful = true;
+            if notice.is_about(server) {
+                let started_ms = Some(server.started_ms);
+                leaves.record(now, LeaveNotice { id: server.id.clone(), started_ms });
+            }
         }
-        current.server.state = ServerState::Gone;
-        ServerUpdate::Changed
     }
 
     /// Processes a leave notice that the store or another daemon holds.
-    ///
-    /// It does not replace the notice of a later incarnation, or of an unknown one, which this daemon
-    /// has received itself.
     pub fn restore_leave(&mut self, now: Time, notice: &LeaveNotice) -> ServerUpdate {
-        let is_current = self.server().is_some_and(|it| it.id == notice.id);
-        let is_later = |it: &LeaveNotice| {
-            it.started_ms.is_none_or(|started_ms| Some(started_ms) >= notice.started_ms)
+        if self.leaves.contains(notice) {
+            return ServerUpdate::Stale;
+        }
+        let current = self.current.as_mut().filter(|it| it.server.id == notice.id);
+        if let (Some(current), Some(_)) = (current, notice.started_ms)
+            && notice.is_about(&current.server)
+        {
+            return current.leave(now);
+        }
+        if !self.leaves.record(now, notice.clone()) {
+            return ServerUpdate::Refused;
+        }
+        let Some(current) = self.current.take_if(|it| it.server.id == notice.id) else {
+            return ServerUpdate::Stale;
         };
-        if !is_current && self.early_leave.as_ref().is_some_and(is_later) {
+        // The current incarnation may be the one that left, unless its start is stated and differs.
+        if notice.started_ms.is_some() || current.has_left() {
+            self.current = Some(current);
             return ServerUpdate::Stale;
         }
-        self.leave(now, &notice.id, notice.started_ms)
+        let Current { server, sequence, last_heartbeat, .. } = current;
+        self.add_contender(Contender::new(last_heartbeat, Heartbeat { server, sequence }));
+        ServerUpdate::Changed
+    }
+
+    /// Returns the leaves of other incarnations than the current one.
+    pub fn leaves(&self) -> impl Iterator<Item = &LeaveNotice> {
+        self.leaves.notices()
     }
 
-    /// Returns the leave notice that came before any heartbeat.
-    pub fn early_leave(&self) -> Option<&LeaveNotice> {
-        self.early_leave.as_ref()
+    /// Returns a number that rises with each leave that is recorded of another incarnation than the
+    /// current one.
+    pub fn leaves_revision(&self) -> u64 {
+        self.leaves.revision()
     }
 
     /// Processes a response in which the backend server states that it is leaving.
     pub fn observe_leaving(&mut self, now: Time) -> ServerUpdate {
-        let Some(current) = &mut self.current else { return ServerUpdate::Stale };
-        current.draining_since.get_or_insert(now);
-        if current.server.state != ServerState::Ready {
-            return ServerUpdate::Unchanged;
-        }
-        current.server.state = ServerState::Draining;
-        ServerUpdate::Changed
+        self.current.as_mut().map_or(ServerUpdate::Stale, |it| it.drain(now))
     }
 
     /// Returns the state of the backend server, or `None` before its first heartbeat.
@@ -254,7 +333,8 @@
 
     /// Returns whether the backend server accepts new requests.
     pub fn is_ready(&self) -> bool {
-        self.current.as_ref().is_some_and(|it| it.server.state == ServerState::Ready)
+        let is_ready = |it: &Current| it.server.state == ServerState::Ready && !it.doubtful;
+        self.current.as_ref().is_some_and(is_ready)
     }
 
     /// Returns the time since the last heartbeat, or `None` before the first.
@@ -263,11 +343,38 @@
     }
 }
 
+impl Contender {
+    fn new(received: Time, beat: Heartbeat) -> Contender {
+        Contender { beat, received, count: 1, doubtful: false }
+    }
+}
+
 impl Current {
     fn has_left(&self) -> bool {
         self.server.state == ServerState::Gone
     }
 
+    fn leave(&mut self, now: Time) -> ServerUpdate {
+        self.draining_since.get_or_insert(now);
+        let state = std::mem::replace(&mut self.server.state, ServerState::Gone);
+        if state == ServerState::Gone { ServerUpdate::Unchanged } else { ServerUpdate::Changed }
+    }
+
+    fn drain(&mut self, now: Time) -> ServerUpdate {
+        self.draining_since.get_or_insert(now);
+        if self.server.state != ServerState::Ready {
+            return ServerUpdate::Unchanged;
+        }
+        self.server.state = ServerState::Draining;
+        ServerUpdate::Changed
+    }
+
+    /// Sends no requests until the next heartbeat.
+    fn doubt(&mut self) -> ServerUpdate {
+        let doubtful = std::mem::replace(&mut self.doubtful, true);
+        if doubtful { ServerUpdate::Unchanged } else { ServerUpdate::Changed }
+    }
+
     fn update(&mut self, now: Time, beat: &Heartbeat) -> ServerUpdate {
         self.sequence = beat.sequence;
         self.last_heartbeat = now;
@@ -277,7 +384,9 @@
         if state != ServerState::Ready {
             self.draining_since.get_or_insert(now);
         }
-        let changed = self.server.state != state || self.server.slots != beat.server.slots;
+        let doubtful = std::mem::replace(&mut self.doubtful, false);
+        let changed =
+            doubtful || self.server.state != state || self.server.slots != beat.server.slots;
         self.server.state = state;
         self.server.slots = beat.server.slots;
         if changed { ServerUpdate::Changed } else { ServerUpdate::Unchanged }
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -80,6 +80,11 @@
 }
 
 impl LeaveNotice {
+    /// Returns whether the notice is about an incarnation, as far as it states one.
+    pub fn is_about(&self, server: &Server) -> bool {
+        self.id == server.id && self.started_ms.is_none_or(|it| it == server.started_ms)
+    }
+
     /// Returns the notice for a backend server that is leaving, `None` for another one.
     pub fn of(server: &Server) -> Option<LeaveNotice> {
         let leaving = server.state != ServerState::Ready;
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -27,6 +27,7 @@
 mod rollout_load;
 mod runs;
 mod server;
+mod server_random;
 mod slots;
 mod slots_load;
 mod spread_load;
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -22,7 +22,7 @@
 pub use watch::Watch;
 
 /// Protocol number of this build; daemons reject messages with another number.
-pub const PROTOCOL: u32 = 7;
+pub const PROTOCOL: u32 = 8;
 
 /// Largest encoded envelope in bytes; a snapshot of the largest catalog fits.
 pub const MAX_ENVELOPE_BYTES: usize = 16 * 1024 * 1024;
--- a/crates/shallottackd/tests/suite/fleet/foreign.rs
+++ b/crates/shallottackd/tests/suite/fleet/foreign.rs
@@ -114,3 +114,66 @@
             .any(|it| it.contains("\"event\":\"server\"") && it.contains("\"slots\":3"))
     });
 }
+
+/// Guards against a leave of an incarnation with an earlier start, which is acknowledged and dropped:
+/// the time of day was ahead when the server started before.
+#[test]
+fn leave_after_a_clock_that_jumped_back_is_acknowledged_and_dropped() {
+    type Leave = fn(&Vm, u64) -> u16;
+    let drain: Leave = |vm, born| {
+        let mut body: serde_json::Value =
+            serde_json::from_str(&altered("stock", "born", json!(born))).unwrap();
+        (body["state"], body["sequence"]) = (json!("draining"), json!(9));
+        send(vm, "PUT", "i-stock-1", &body.to_string())
+    };
+    let leaves: [(&str, Leave); 3] = [
+        ("draining", drain),
+        ("notice", |vm, born| {
+            send(vm, "DELETE", "i-stock-1", &json!({ "born": born }).to_string())
+        }),
+        ("notice without a start", |vm, _| send(vm, "DELETE", "i-stock-1", "")),
+    ];
+    for (name, leave) in leaves {
+        let (_store, shop, stock) = fleet(&["stock-1"]);
+        let stock = &stock[0];
+        let second = unix_ms();
+        for born in [second + 2_000, second] {
+            let body = altered("stock", "born", json!(born));
+            assert_eq!(send(stock, "PUT", "i-stock-1", &body), 200, "{name}");
+        }
+        assert_eq!(leave(stock, second), 200, "{name}");
+        eventually("requests have stopped", || shop.get("/count/1", "c1").status == 503);
+        // The last heartbeat before the leave arrives late.
+        send(stock, "PUT", "i-stock-1", &altered("stock", "born", json!(second)));
+        let before = stock.server.runs().len();
+        for number in 0..40 {
+            let answer = shop.get("/count/1", &format!("l{number}"));
+            assert_eq!(answer.status, 503, "{name}");
+        }
+        assert_eq!(stock.server.runs().len(), before, "{name}");
+    }
+}
+
+/// Guards against one leave notice of another process that replaces the one of the server on the VM.
+#[test]
+fn foreign_leave_notice_hides_that_of_the_server() {
+    let (store, shop, mut stock) = fleet(&["stock-1", "stock-2"]);
+    store.set_down(true);
+    stock[0].kill();
+    let starts = stock[0].log().matches(STARTED).count();
+    stock[0].child = Vm::spawn(&stock[0].settings);
+    eventually("the daemon has started", || stock[0].log().matches(STARTED).count() > starts);
+    // The notices come before any heartbeat.
+    eventually("the leave is acknowledged", || {
+        stock[0].server.leave(stock[0].heartbeats).is_ok_and(|it| it == 200)
+    });
+    assert_eq!(send(&stock[0], "DELETE", "i-elsewhere", ""), 200);
+    assert_eq!(send(&stock[0], "DELETE", "i-stock-1", "{\"born\":"), 400);
+    store.set_down(false);
+    let runs = stock[0].server.runs().len();
+    assert_eq!(stock[0].server.heartbeat(stock[0].heartbeats, "ready").unwrap(), 200);
+    for number in 0..40 {
+        assert_eq!(shop.get("/count/1", &format!("c{number}")).status, 200);
+    }
+    assert_eq!(stock[0].server.runs().len(), runs);
+}
--- a/crates/sidecar/src/heartbeats.rs
+++ b/crates/sidecar/src/heartbeats.rs
@@ -9,7 +9,10 @@
 use shallottack_kernel::EndpointId;
 use shallottack_site::{READY_PATH, heartbeat};
 
-use crate::{events::Event, node::Node};
+use crate::{
+    events::Event,
+    node::{Node, ServerChange},
+};
 
 /// Longest time for which the acknowledgement of a leave waits until the leave outlives this daemon;
 /// backend servers wait for one second.
@@ -24,45 +27,39 @@
     };
     match *request.method() {
         Method::PUT => handle_heartbeat(&node, &id, request.body()).await,
-        Method::DELETE => {
-            let born = heartbeat::decode_leave(request.body());
-            let (update, early) = {
-                let mut shared = node.shared();
-                let before = shared.local.early_leave().cloned();
-                let update = shared.local.leave(node.now(), &id, born);
-                (update, before.as_ref() != shared.local.early_leave())
-            };
-            if early {
-                node.server_changed("left before a heartbeat");
-            } else {
-                publish_change(&node, &id, update, "left");
-            }
-            acknowledge_leave(&node, &id).await
-        }
+        Method::DELETE => handle_leave(&node, &id, request.body()).await,
         _ => status(StatusCode::METHOD_NOT_ALLOWED),
     }
 }
 
+async fn handle_leave(node: &Arc<Node>, id: &EndpointId, body: &[u8]) -> Response<Bytes> {
+    let born = match heartbeat::decode_leave(body) {
+        Ok(born) => born,
+        Err(reason) => return reject_malformed(node, id, &reason),
+    };
+    let now = node.now();
+    let change = node.update_server(|local| local.leave(now, id, born));
+    publish_change(node, id, change, "left");
+    acknowledge_leave(node, id, change).await
+}
+
 async fn handle_heartbeat(node: &Arc<Node>, id: &EndpointId, body: &[u8]) -> Response<Bytes> {
     let heartbeat = match read_heartbeat(node, id, body) {
         Ok(heartbeat) => heartbeat,
-        Err(reason) => {
-            let (id, outcome) = (id.as_str(), "malformed");
-            node.events.write(&Event::Heartbeat { id, outcome, reason: &reason });
-            return status(StatusCode::BAD_REQUEST);
-        }
+        Err(reason) => return reject_malformed(node, id, &reason),
     };
     let now = node.now();
-    let (update, replaced) = node.update_server(|local| local.heartbeat(now, &heartbeat));
-    if !replaced && matches!(update, ServerUpdate::Changed | ServerUpdate::Unchanged) {
+    let change = node.update_server(|local| local.heartbeat(now, &heartbeat));
+    let counts = matches!(change.update, ServerUpdate::Changed | ServerUpdate::Unchanged);
+    if counts && !change.replaced {
         node.record_warmup(&mut node.shared(), heartbeat.server.warmup_left, true);
     }
-    if update == ServerUpdate::Unconfirmed {
+    if change.update == ServerUpdate::Unconfirmed {
         node.identify_server();
     }
-    publish_change(node, id, update, "heartbeat");
+    publish_change(node, id, change, "heartbeat");
     if heartbeat.server.state != ServerState::Ready {
-        return acknowledge_leave(node, id).await;
+        return acknowledge_leave(node, id, change).await;
     }
     let mut response = status(StatusCode::OK);
     *response.body_mut() = Bytes::from_static(b"{}");
@@ -88,7 +85,14 @@
 
 /// Acknowledges a leave once the store or other daemons hold it, so that a daemon that starts again
 /// on this VM is told of it. Refuses it if that takes too long; the backend server then repeats it.
-async fn acknowledge_leave(node: &Arc<Node>, id: &EndpointId) -> Response<Bytes> {
+async fn acknowledge_leave(
+    node: &Arc<Node>,
+    id: &EndpointId,
+    change: ServerChange,
+) -> Response<Bytes> {
+    if change.update == ServerUpdate::Refused {
+        return refuse_leave(node, id, "there is no room for more leaves");
+    }
     let began = node.now();
     if !node.is_leave_kept() {
         // Not left to the task that writes the own row, which may be waiting for the store.
@@ -96,10 +100,7 @@
     }
     while !node.is_leave_kept() {
         if node.now().since(began) >= KEPT_TIMEOUT {
-            let (id, outcome) = (id.as_str(), "refused");
-            let reason = "neither the store nor other daemons hold the leave";
-            node.events.write(&Event::Heartbeat { id, outcome, reason });
-            return status(StatusCode::SERVICE_UNAVAILABLE);
+            return refuse_leave(node, id, "neither the store nor other daemons hold the leave");
         }
         task::sleep(KEPT_CHECK_INTERVAL).await;
     }
@@ -108,15 +109,27 @@
     response
 }
 
-/// Publishes a change of the backend server, or logs a stale message.
-pub fn publish_change(node: &Node, id: &EndpointId, update: ServerUpdate, reason: &str) {
-    match update {
-        ServerUpdate::Changed => node.server_changed(reason),
-        ServerUpdate::Unchanged | ServerUpdate::Unconfirmed => {}
-        ServerUpdate::Stale => {
-            let id = id.as_str();
-            node.events.write(&Event::Heartbeat { id, outcome: "stale", reason });
-        }
+fn refuse_leave(node: &Node, id: &EndpointId, reason: &str) -> Response<Bytes> {
+    node.events.write(&Event::Heartbeat { id: id.as_str(), outcome: "refused", reason });
+    status(StatusCode::SERVICE_UNAVAILABLE)
+}
+
+/// Answers a message that no backend server sends.
+fn reject_malformed(node: &Node, id: &EndpointId, reason: &str) -> Response<Bytes> {
+    node.events.write(&Event::Heartbeat { id: id.as_str(), outcome: "malformed", reason });
+    status(StatusCode::BAD_REQUEST)
+}
+
+/// Publishes a change of the backend server, and logs a message that is not about the current one.
+pub fn publish_change(node: &Node, id: &EndpointId, change: ServerChange, reason: &str) {
+    let log = |outcome| node.events.write(&Event::Heartbeat { id: id.as_str(), outcome, reason });
+    if change.leaves {
+        log("left");
+    } else if change.update == ServerUpdate::Stale {
+        log("stale");
+    }
+    if change.leaves || change.update == ServerUpdate::Changed {
+        node.server_changed(reason);
     }
 }
 
--- a/crates/sidecar/src/identify.rs
+++ b/crates/sidecar/src/identify.rs
@@ -6,7 +6,7 @@
 
 use async_std::task;
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
-use shallottack_fleet::{ServerAnswer, ServerUpdate};
+use shallottack_fleet::ServerAnswer;
 use shallottack_http::Body;
 use shallottack_kernel::EndpointId;
 use shallottack_site::headers;
@@ -49,10 +49,10 @@
                 Err(reason) => (ServerAnswer::Silent, reason.clone()),
             };
             let last = answer != ServerAnswer::Silent || question == MAX_QUESTIONS;
-            let (update, _) = self.update_server(|local| local.answer(&answer));
+            let change = self.update_server(|local| local.answer(&answer));
             self.log_answer(&answer, &reason, self.now().since(asked));
-            if let (ServerAnswer::Named(id), ServerUpdate::Changed) = (&answer, update) {
-                publish_change(&self, id, update, "answer");
+            if let ServerAnswer::Named(id) = &answer {
+                publish_change(&self, id, change, "answer");
             }
             if last {
                 self.shared().identifying = false;
--- a/crates/sidecar/src/message.rs
+++ b/crates/sidecar/src/message.rs
@@ -8,6 +8,7 @@
     RequestKey, Revocation, RowVersion, SendId, ShareRequest, Ticket,
 };
 use shallottack_kernel::{EndpointId, ErrorKind, ServiceName, Time};
+use smallvec::SmallVec;
 
 use crate::config_history::CompressedConfig;
 
@@ -186,9 +187,9 @@
     pub reports: Vec<LoadReport>,
     /// Members whose descriptions are new or missing at the receiver.
     pub members: Vec<Member>,
-    /// Leave of a backend server that the sender knows for the VM of the receiver, whose daemon may
+    /// Leaves of backend servers that the sender knows for the VM of the receiver, whose daemon may
     /// have started again since.
-    pub leave: Option<LeaveNotice>,
+    pub leaves: SmallVec<[LeaveNotice; 1]>,
     /// Digests of the sender's directory; empty if the directories are not compared.
     pub digests: Vec<Digest>,
 }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -55,6 +55,17 @@
     Reject(Duration),
 }
 
+/// Effect of a message about the backend server.
+#[derive(Debug, Clone, Copy)]
+pub struct ServerChange {
+    /// Effect on the current incarnation.
+    pub update: ServerUpdate,
+    /// Whether another incarnation runs now.
+    pub replaced: bool,
+    /// Whether the leave of another incarnation was recorded.
+    pub leaves: bool,
+}
+
 /// Mutable state of the daemon behind one lock, which is never held across an `await`.
 pub struct Shared {
     /// All known daemons, including this one.
@@ -195,7 +206,7 @@
             link_kbps: (settings.link_mbps * 1_000.0) as u32,
             stopping: false,
             server: None,
-            left: None,
+            left: SmallVec::new(),
             crashes: SmallVec::new(),
             verdicts: SmallVec::new(),
         };
@@ -475,32 +486,35 @@
     /// Changes what is known of the backend server, and forgets the former one if another incarnation
     /// runs now.
     ///
-    /// Returns whether it does, with the effect of the change.
+    /// Other daemons are not notified.
     pub fn update_server(
         self: &Arc<Self>,
         change: impl FnOnce(&mut LocalServer) -> ServerUpdate,
-    ) -> (ServerUpdate, bool) {
-        let (update, former) = {
+    ) -> ServerChange {
+        let (update, leaves, former) = {
             let mut shared = self.shared();
             let former = shared.local.server().cloned();
             let was_ready = shared.local.is_ready();
+            let revision = shared.local.leaves_revision();
             let update = change(&mut shared.local);
-            let Some(server) = shared.local.server().cloned() else { return (update, false) };
+            let leaves = shared.local.leaves_revision() != revision;
+            let change = ServerChange { update, replaced: false, leaves };
+            let Some(server) = shared.local.server().cloned() else { return change };
             if former.as_ref().is_some_and(|it| it.is_same_start(&server)) {
-                return (update, false);
+                return change;
             }
             shared.reset_server();
             self.record_warmup(&mut shared, server.warmup_left, false);
             if !was_ready {
                 shared.runs.reset();
             }
-            (update, former)
+            (update, leaves, former)
         };
         if former.is_some() {
             self.record_crash(CrashSign::Restarted);
         }
         self.backend.close_idle();
-        (update, true)
+        ServerChange { update, replaced: true, leaves }
     }
 
     /// Applies the state of the backend server to the slots and to this daemon's description.
@@ -526,11 +540,11 @@
         }
         {
             let mut shared = self.shared();
-            let left = shared.local.early_leave().cloned();
+            let left: SmallVec<[LeaveNotice; 1]> = shared.local.leaves().cloned().collect();
             let leaving = server.as_ref().is_some_and(|it| it.state != ServerState::Ready);
             let server = server.filter(|_| leaving || shared.may_offer());
             shared.change_own(self.now(), |own| (own.server, own.left) = (server, left));
-            if leaving || shared.own.left.is_some() {
+            if leaving || !shared.own.left.is_empty() {
                 let sequence = shared.own.sequence;
                 shared.kept.record_leave(sequence);
             }
@@ -563,16 +577,18 @@
         }
     }
 
-    /// Applies what `source` knows of an earlier daemon's leave notice, and offers the backend server
-    /// from now on unless it has left.
-    pub fn apply_leave(&self, notice: Option<&LeaveNotice>, source: &str) {
+    /// Applies what `source` knows of the leaves that an earlier daemon acknowledged, and offers the
+    /// backend server from now on unless it has left.
+    pub fn apply_leaves(&self, notices: &[LeaveNotice], source: &str) {
         let (changed, informed) = {
             let mut shared = self.shared();
-            let early = shared.local.early_leave().cloned();
+            let revision = shared.local.leaves_revision();
             let now = self.now();
-            let update = notice.map(|it| shared.local.restore_leave(now, it));
-            let changed = update == Some(ServerUpdate::Changed)
-                || early.as_ref() != shared.local.early_leave();
+            let mut changed = false;
+            for notice in notices {
+                changed |= shared.local.restore_leave(now, notice) == ServerUpdate::Changed;
+            }
+            changed |= revision != shared.local.leaves_revision();
             (changed, std::mem::replace(&mut shared.informed, true))
         };
         if changed || !informed {
--- a/crates/sidecar/src/publish.rs
+++ b/crates/sidecar/src/publish.rs
@@ -5,6 +5,7 @@
 use async_std::task;
 use shallottack_fleet::{LeaveNotice, Member, RowVersion};
 use shallottack_site::store::{Store, StoreError, Written};
+use smallvec::SmallVec;
 
 use crate::{
     backoff::Backoff,
@@ -70,7 +71,7 @@
                     }
                     None => None,
                 };
-                node.apply_leave(None, "store");
+                node.apply_leaves(&[], "store");
                 return (version, incarnation);
             }
             Err(error) => {
@@ -84,16 +85,17 @@
 /// Takes over what an earlier daemon on this VM described.
 fn restore(node: &Arc<Node>, earlier: &Member) {
     node.restore_runs(earlier);
-    restore_leave(node, earlier);
+    restore_leaves(node, earlier);
     node.restore_crashes(earlier);
     node.update_own(|own| own.incarnation = own.incarnation.max(earlier.incarnation + 1));
 }
 
-/// Takes over from an earlier daemon on this VM that the backend server is leaving, since a late
-/// heartbeat may still state that it is ready.
-fn restore_leave(node: &Node, earlier: &Member) {
-    let notice = earlier.server.as_ref().and_then(LeaveNotice::of).or(earlier.left.clone());
-    node.apply_leave(notice.as_ref(), "earlier daemon");
+/// Takes over from an earlier daemon on this VM which backend servers are leaving, since a late
+/// heartbeat may still state that one is ready.
+fn restore_leaves(node: &Node, earlier: &Member) {
+    let own = earlier.server.as_ref().and_then(LeaveNotice::of);
+    let notices: SmallVec<[LeaveNotice; 1]> = own.into_iter().chain(earlier.left.clone()).collect();
+    node.apply_leaves(&notices, "earlier daemon");
 }
 
 /// Sends the current description to the other daemons, writes it and returns the version of the
--- a/crates/sidecar/src/sync.rs
+++ b/crates/sidecar/src/sync.rs
@@ -334,7 +334,7 @@
             evidence: shared.evidence(0),
             reports: Vec::new(),
             members: Vec::new(),
-            leave: shared.placement.known_leave(&receiver.vm),
+            leaves: shared.placement.known_leaves(&receiver.vm),
             digests: Vec::new(),
         };
         if shared.sampled() {
@@ -384,7 +384,7 @@
 
     /// Applies everything received from another daemon.
     fn apply_gossip(self: &Arc<Self>, gossip: &Gossip) {
-        self.apply_leave(gossip.leave.as_ref(), gossip.own.vm.as_str());
+        self.apply_leaves(&gossip.leaves, gossip.own.vm.as_str());
         self.apply_member(&gossip.own);
         gossip.members.iter().for_each(|it| self.apply_member(it));
         self.record_load(&gossip.own.vm, gossip.load);
