fleet: a daemon that starts asks its server whether it is leaving

Cause: a daemon offered its server on the strength of one heartbeat. What was acknowledged was known to other daemons and the store only, and a kill of all daemons while the store is away, or a store that comes back from an older copy, leaves nobody who knows.

Evidence: the own row is from before the outage and states a ready server. The server itself knows: it says that it is leaving in all its responses but those to health checks, and sends no further heartbeats.

Fix: the refusal of the request with which a daemon asks its server who it is also states whether it is leaving; the daemon then records and describes the leave as its own. A refusal that ends the connection is asked for again. A second heartbeat is needed if it always does, or if the first one comes more than two intervals after the start from a server that already ran.

One connection at each start, kept for requests.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -59,7 +59,7 @@
 pub use fetch::{FetchDecision, FetchSettings, FetchTracker};
 pub use kept::Kept;
 pub use link::{LARGE_BYTES, Link};
-pub use local_server::{LocalServer, ServerAnswer, ServerUpdate};
+pub use local_server::{LocalServer, ServerAnswer, ServerUpdate, Stay};
 pub use neighbours::{NeighbourSettings, Neighbours, store_reader_rank};
 pub use organisation::{Credential, KeyCheck, Organisation, Organisations, Quota};
 pub use organisation_labels::OrganisationLabels;
--- a/crates/fleet/src/local_server.rs
+++ b/crates/fleet/src/local_server.rs
@@ -45,14 +45,27 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ServerAnswer {
     /// It has this identifier.
-    Named(EndpointId),
+    Named(EndpointId, Stay),
     /// It does not answer, or does not say.
     Silent,
 }
 
+/// What a response of the backend server tells of whether it is leaving.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stay {
+    /// It does not say that it is leaving.
+    Stays,
+    /// It ends connections, as servers do that are leaving, and others now and then.
+    Unclear,
+    /// It says that it is leaving.
+    Leaves,
+}
+
 /// State of the backend server on the same VM.
 #[derive(Debug)]
 pub struct LocalServer {
+    /// When the daemon started, on its clock and as Unix time in milliseconds.
+    started: (Time, u64),
     /// Service of the VM.
     service: ServiceName,
     /// Time after which an incarnation without a heartbeat may have ended.
@@ -85,13 +98,18 @@
     count: u32,
     /// Whether a server with its identifier has left since its last heartbeat.
     doubtful: bool,
+    /// Whether its first heartbeat may be a late one of a server that left before this daemon started.
+    late: bool,
 }
 
 impl LocalServer {
     /// Creates the state of a VM whose backend server runs `service` and sends a heartbeat every
-    /// `interval`.
-    pub fn new(service: ServiceName, interval: Duration) -> LocalServer {
+    /// `interval`, for a daemon that starts now.
+    ///
+    /// `unix_ms` is the Unix time in milliseconds.
+    pub fn new(now: Time, unix_ms: u64, service: ServiceName, interval: Duration) -> LocalServer {
         LocalServer {
+            started: (now, unix_ms),
             service,
             silence: interval * SILENT_INTERVALS,
             current: None,
@@ -150,7 +168,10 @@
                 contender.doubtful = false;
                 at
             }
-            None => self.add_contender(Contender::new(now, beat.clone())),
+            None => {
+                let late = self.may_be_late(now, &beat.server);
+                self.add_contender(Contender { late, ..Contender::new(now, beat.clone()) })
+            }
         };
         let drains = beat.server.state != ServerState::Ready;
         // A server that drains gets no requests, whichever incarnation it is.
@@ -168,6 +189,14 @@
         if same { ServerUpdate::Stale } else { ServerUpdate::Unconfirmed }
     }
 
+    /// Returns whether a heartbeat may be a late one of a server that left before this daemon started:
+    /// no server has sent one since, although this one already ran.
+    fn may_be_late(&self, now: Time, server: &Server) -> bool {
+        let (started, started_ms) = self.started;
+        let silent = now.since(started) >= self.silence && self.current.is_none();
+        silent && server.started_ms < started_ms
+    }
+
     /// Adds a contender, in place of the one that has been silent for longest if there are many.
     /// Returns its position.
     fn add_contender(&mut self, contender: Contender) -> usize {
@@ -182,10 +211,19 @@
 
     /// Processes what the backend server stated when it was asked, after
     /// [`ServerUpdate::Unconfirmed`].
-    pub fn answer(&mut self, answer: &ServerAnswer) -> ServerUpdate {
-        let ServerAnswer::Named(id) = answer else { return ServerUpdate::Unchanged };
+    pub fn answer(&mut self, now: Time, answer: &ServerAnswer) -> ServerUpdate {
+        let ServerAnswer::Named(id, stay) = answer else { return ServerUpdate::Unchanged };
         // Another process sent the other heartbeats, or they were late.
         self.contenders.retain(|it| it.beat.server.id == *id);
+        match stay {
+            Stay::Stays => {}
+            Stay::Unclear => self.contenders.iter_mut().for_each(|it| it.late |= it.count == 1),
+            Stay::Leaves => {
+                self.end_contenders(now, &LeaveNotice { id: id.clone(), started_ms: None });
+                let current = self.current.as_mut().filter(|it| it.server.id == *id);
+                return current.map_or(ServerUpdate::Unchanged, |it| it.drain(now));
+            }
+        }
         let mut candidates: SmallVec<[usize; 1]> = (0..self.contenders.len()).collect();
         candidates.retain(|at| self.precedes(&self.contenders[*at].beat.server));
         candidates.retain(|at| self.is_sound(*at));
@@ -200,8 +238,8 @@
 
     /// Returns whether no leave is about a contender, or it has gone on running since.
     fn is_sound(&mut self, at: usize) -> bool {
-        let Contender { beat, count, doubtful, .. } = &self.contenders[at];
-        if *doubtful {
+        let Contender { beat, count, doubtful, late, .. } = &self.contenders[at];
+        if *doubtful || (*late && *count < MIN_HEARTBEATS) {
             return false;
         }
         match self.leaves.standing(&beat.server) {
@@ -345,7 +383,7 @@
 
 impl Contender {
     fn new(received: Time, beat: Heartbeat) -> Contender {
-        Contender { beat, received, count: 1, doubtful: false }
+        Contender { beat, received, count: 1, doubtful: false, late: false }
     }
 }
 
--- a/crates/fleet/tests/suite/fixture.rs
+++ b/crates/fleet/tests/suite/fixture.rs
@@ -6,7 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 use shallottack_fleet::{
     Arrival, Heartbeat, LocalServer, Member, PlacementRequest, Rank, Server, ServerAnswer,
-    ServerState, ServerUpdate, TaskId, Ticket, VersionFilter,
+    ServerState, ServerUpdate, Stay, TaskId, Ticket, VersionFilter,
 };
 use shallottack_kernel::{DataCentre, EndpointId, GroupName, ServiceName, Time};
 use smallvec::SmallVec;
@@ -51,9 +51,9 @@
     Heartbeat { server: Server { state, started_ms, ..ready(server) }, sequence }
 }
 
-/// Returns the state of a VM of the service `stock`, before any heartbeat.
+/// Returns the state of a VM of the service `stock`, whose daemon starts before its backend server.
 pub fn local_server() -> LocalServer {
-    LocalServer::new(service("stock"), ms(1_500))
+    LocalServer::new(at(0), 0, service("stock"), ms(1_500))
 }
 
 /// Processes a heartbeat while the backend server `running` answers whenever it is asked.
@@ -64,7 +64,9 @@
     running: &str,
 ) -> ServerUpdate {
     match local.heartbeat(now, beat) {
-        ServerUpdate::Unconfirmed => local.answer(&ServerAnswer::Named(id(running))),
+        ServerUpdate::Unconfirmed => {
+            local.answer(now, &ServerAnswer::Named(id(running), Stay::Stays))
+        }
         update => update,
     }
 }
--- a/crates/fleet/tests/suite/foreign.rs
+++ b/crates/fleet/tests/suite/foreign.rs
@@ -82,7 +82,7 @@
     for (sequence, expected) in [(1, ServerUpdate::Unconfirmed), (2, ServerUpdate::Changed)] {
         let update = local.heartbeat(at(1_500 * sequence), &ready("i-1", 5, sequence));
         assert_eq!(update, expected);
-        local.answer(&ServerAnswer::Silent);
+        local.answer(at(1_500 * sequence), &ServerAnswer::Silent);
     }
     assert!(local.is_ready());
 }
--- a/crates/fleet/tests/suite/server.rs
+++ b/crates/fleet/tests/suite/server.rs
@@ -1,8 +1,8 @@
 //! Late, repeated and reordered messages about the backend server.
 
-use shallottack_fleet::{LeaveNotice, ServerState, ServerUpdate};
+use shallottack_fleet::{LeaveNotice, LocalServer, ServerAnswer, ServerState, ServerUpdate, Stay};
 
-use crate::fixture::{at, beat, id, local_server, receive};
+use crate::fixture::{at, beat, id, local_server, ms, receive, service};
 
 /// Guards against a delayed heartbeat that reopens a draining backend server.
 #[test]
@@ -133,3 +133,49 @@
     local.restore_leave(at(3), &notice);
     assert!(local.is_ready());
 }
+
+/// Returns the state of a VM whose daemon starts beside a backend server that started before.
+fn restarted() -> LocalServer {
+    LocalServer::new(at(0), 1_000, service("stock"), ms(1_500))
+}
+
+/// Guards against a late heartbeat that brings back a server whose leave all daemons have forgotten:
+/// the server says that it is leaving, or the heartbeat comes alone long after the start.
+#[test]
+fn forgotten_leave_is_undone_by_a_late_heartbeat() {
+    let late = beat("i-1", 5, 7, ServerState::Ready);
+    for (time, stay) in [(100, Stay::Leaves), (100, Stay::Unclear), (3_000, Stay::Stays)] {
+        let mut local = restarted();
+        assert_eq!(local.heartbeat(at(time), &late), ServerUpdate::Unconfirmed);
+        local.answer(at(time), &ServerAnswer::Named(id("i-1"), stay));
+        assert!(!local.is_ready(), "{stay:?} after {time} ms");
+    }
+}
+
+/// Guards against a server that is kept out for good since its daemon was restarted: what is said of it
+/// is not certain, and it goes on sending heartbeats.
+#[test]
+fn sound_server_is_kept_out_after_a_restart() {
+    let states = [(100, Stay::Stays, 1), (100, Stay::Unclear, 2), (3_000, Stay::Stays, 2)];
+    for (first, stay, needed) in states {
+        let mut local = restarted();
+        for sequence in 1..=needed {
+            assert!(!local.is_ready());
+            let now = at(first + 1_500 * (sequence - 1));
+            let update = local.heartbeat(now, &beat("i-1", 5, sequence, ServerState::Ready));
+            if update == ServerUpdate::Unconfirmed {
+                local.answer(now, &ServerAnswer::Named(id("i-1"), stay));
+            }
+        }
+        assert!(local.is_ready(), "{stay:?} after {first} ms");
+    }
+}
+
+/// Guards against a server that started after its daemon and waits for a second heartbeat, although no
+/// earlier daemon can have acknowledged its leave.
+#[test]
+fn new_server_waits_for_a_second_heartbeat() {
+    let mut local = restarted();
+    receive(&mut local, at(9_000), &beat("i-1", 9_500, 1, ServerState::Ready), "i-1");
+    assert!(local.is_ready());
+}
--- a/crates/fleet/tests/suite/server_random.rs
+++ b/crates/fleet/tests/suite/server_random.rs
@@ -2,7 +2,9 @@
 //! messages.
 
 use proptest::prelude::*;
-use shallottack_fleet::{Heartbeat, LocalServer, Server, ServerAnswer, ServerState, ServerUpdate};
+use shallottack_fleet::{
+    Heartbeat, LocalServer, Server, ServerAnswer, ServerState, ServerUpdate, Stay,
+};
 
 use crate::fixture::{at, beat, id, local_server};
 
@@ -115,9 +117,11 @@
             return;
         }
         let server = self.running().server.clone();
-        let answer =
-            if self.mute { ServerAnswer::Silent } else { ServerAnswer::Named(id(&server)) };
-        self.local.answer(&answer);
+        let answer = match self.mute {
+            true => ServerAnswer::Silent,
+            false => ServerAnswer::Named(id(&server), Stay::Stays),
+        };
+        self.local.answer(at(self.now), &answer);
     }
 
     fn send(&mut self, state: ServerState) -> ServerUpdate {
--- a/crates/shallottackd/tests/suite/fleet.rs
+++ b/crates/shallottackd/tests/suite/fleet.rs
@@ -5,6 +5,7 @@
 mod endless;
 mod evacuation;
 mod foreign;
+mod forgotten;
 mod leaving;
 mod memory;
 mod odd_entries;
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -196,6 +196,13 @@
     idle: Duration,
 }
 
+impl ServerStatement {
+    /// Returns whether the backend server ends the connection after the response.
+    pub fn closes(&self) -> bool {
+        self.idle.is_zero()
+    }
+}
+
 struct IdleConnection {
     connection: Connection,
     since: Instant,
--- a/crates/sidecar/src/events.rs
+++ b/crates/sidecar/src/events.rs
@@ -122,6 +122,7 @@
         row: u64,
     },
     Identified {
+        outcome: &'a str,
         server: &'a str,
         current: &'a str,
         reason: &'a str,
--- a/crates/sidecar/src/identify.rs
+++ b/crates/sidecar/src/identify.rs
@@ -6,7 +6,7 @@
 
 use async_std::task;
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
-use shallottack_fleet::ServerAnswer;
+use shallottack_fleet::{ServerAnswer, ServerUpdate, Stay};
 use shallottack_http::Body;
 use shallottack_kernel::EndpointId;
 use shallottack_site::headers;
@@ -48,10 +48,16 @@
                 Ok(statement) => read_answer(statement),
                 Err(reason) => (ServerAnswer::Silent, reason.clone()),
             };
-            let last = answer != ServerAnswer::Silent || question == MAX_QUESTIONS;
-            let change = self.update_server(|local| local.answer(&answer));
+            let clear =
+                !matches!(answer, ServerAnswer::Silent | ServerAnswer::Named(_, Stay::Unclear));
+            let last = clear || question == MAX_QUESTIONS;
+            let now = self.now();
+            let change = self.update_server(|local| match &answer {
+                ServerAnswer::Named(_, Stay::Unclear) if !last => ServerUpdate::Unchanged,
+                answer => local.answer(now, answer),
+            });
             self.log_answer(&answer, &reason, self.now().since(asked));
-            if let ServerAnswer::Named(id) = &answer {
+            if let ServerAnswer::Named(id, _) = &answer {
                 publish_change(&self, id, change, "answer");
             }
             if last {
@@ -61,7 +67,9 @@
                 }
                 return;
             }
-            task::sleep(PAUSE).await;
+            if answer == ServerAnswer::Silent {
+                task::sleep(PAUSE).await;
+            }
         }
     }
 
@@ -88,12 +96,15 @@
 
     fn log_answer(&self, answer: &ServerAnswer, reason: &str, took: Duration) {
         let (server, outcome) = match answer {
-            ServerAnswer::Named(id) => (id.as_str(), "named"),
+            ServerAnswer::Named(id, Stay::Stays) => (id.as_str(), "named"),
+            ServerAnswer::Named(id, Stay::Unclear) => (id.as_str(), "closing"),
+            ServerAnswer::Named(id, Stay::Leaves) => (id.as_str(), "leaving"),
             ServerAnswer::Silent => ("", "silent"),
         };
         metrics::counter!("shallottack_identifications_total", "outcome" => outcome).increment(1);
         let current = self.shared().local.server().cloned();
         self.events.write(&Event::Identified {
+            outcome,
             server,
             current: current.as_ref().map_or("", |it| it.id.as_str()),
             reason,
@@ -108,7 +119,12 @@
     let named = headers::instance(&response.headers).and_then(|it| EndpointId::new(it).ok());
     match named {
         Some(id) if response.status == StatusCode::MISDIRECTED_REQUEST => {
-            (ServerAnswer::Named(id), String::new())
+            let stay = match (response.notice.leaving, statement.closes()) {
+                (true, _) => Stay::Leaves,
+                (false, true) => Stay::Unclear,
+                (false, false) => Stay::Stays,
+            };
+            (ServerAnswer::Named(id, stay), String::new())
         }
         _ => (ServerAnswer::Silent, format!("status {}", response.status)),
     }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -217,7 +217,12 @@
             placement,
             tickets: Tickets::default(),
             rejected_callers: RejectedCallers::new(policy.returns),
-            local: LocalServer::new(settings.service.clone(), settings.heartbeat),
+            local: LocalServer::new(
+                clock.now(),
+                unix_ms(),
+                settings.service.clone(),
+                settings.heartbeat,
+            ),
             identifying: false,
             slots: Slots::new(policy.slots),
             link: Link::new(own.link_kbps),
--- a/crates/standins/src/site/server.rs
+++ b/crates/standins/src/site/server.rs
@@ -200,7 +200,8 @@
     let meant = request.header("target-instance").unwrap_or(id).to_owned();
     let request_id = request.header("request-id").unwrap_or_default().to_owned();
     if meant != id {
-        let headers = vec![("instance-id".to_owned(), id.to_owned())];
+        let mut headers = vec![("instance-id".to_owned(), id.to_owned())];
+        headers.extend(lock(state).notice.clone());
         return Reply::Answer { status: 421, headers, body: Vec::new() };
     }
     let (answering, notice) = {
