--- a/crates/shallottackd/tests/suite/fleet.rs
+++ b/crates/shallottackd/tests/suite/fleet.rs
@@ -15,6 +15,7 @@
 mod restored;
 mod revocations;
 mod silent;
+mod soak;
 
 use std::{
     fs,
--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -4,6 +4,6 @@
 mod server;
 mod store;
 
-pub use http::{Received, Reply, exchange};
+pub use http::{Connection, Received, Reply, exchange};
 pub use server::{Answering, HEALTH_PATH, SiteServer};
-pub use store::{SiteStore, StoreView};
+pub use store::{SiteStore, StoreCopy, StoreView};
--- a/crates/standins/src/site/http.rs
+++ b/crates/standins/src/site/http.rs
@@ -144,13 +144,35 @@
 ///
 /// Returns the error of the operating system, or of a response that ends early.
 pub fn exchange(to: SocketAddr, requests: &str, count: usize) -> io::Result<Vec<Received>> {
-    let mut stream = TcpStream::connect(to)?;
-    stream.set_read_timeout(Some(std::time::Duration::from_secs(10)))?;
-    stream.write_all(requests.as_bytes())?;
-    let mut reader = BufReader::new(stream);
-    (0..count)
-        .map(|_| receive(&mut reader)?.ok_or_else(|| io::ErrorKind::UnexpectedEof.into()))
-        .collect()
+    Connection::open(to)?.exchange(requests, count)
+}
+
+/// Connection that a caller keeps open.
+pub struct Connection(BufReader<TcpStream>);
+
+impl Connection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    pub fn open(to: SocketAddr) -> io::Result<Connection> {
+        let stream = TcpStream::connect(to)?;
+        stream.set_read_timeout(Some(std::time::Duration::from_secs(10)))?;
+        Ok(Connection(BufReader::new(stream)))
+    }
+
+    /// Writes requests and reads `count` responses.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system, also if the connection ends before the last response.
+    pub fn exchange(&mut self, requests: &str, count: usize) -> io::Result<Vec<Received>> {
+        self.0.get_mut().write_all(requests.as_bytes())?;
+        (0..count)
+            .map(|_| receive(&mut self.0)?.ok_or_else(|| io::ErrorKind::UnexpectedEof.into()))
+            .collect()
+    }
 }
 
 /// Serves a connection to its end; returns for how long the stand-in is down if it crashed.
--- a/crates/standins/src/site/server.rs
+++ b/crates/standins/src/site/server.rs
@@ -116,6 +116,13 @@
         lock(&self.state).notice = vec![("server-leaving".to_owned(), "1".to_owned())];
     }
 
+    /// Starts again under its identifier, and neither leaves nor has a limit.
+    pub fn start_again(&self) {
+        let mut state = lock(&self.state);
+        (state.crashes, state.sequence) = (state.crashes + 1, 0);
+        state.notice.clear();
+    }
+
     /// States from now on that it runs this many requests at the same time.
     pub fn set_slots(&self, slots: u32) {
         lock(&self.state).slots = slots;
