--- a/crates/fleet/src/local_server.rs
+++ b/crates/fleet/src/local_server.rs
@@ -225,7 +225,7 @@
             }
         }
         let mut candidates: SmallVec<[usize; 1]> = (0..self.contenders.len()).collect();
-        candidates.retain(|at| self.precedes(&self.contenders[*at].beat.server));
+        candidates.retain(|at| self.replaces_current(&self.contenders[*at].beat.server));
         candidates.retain(|at| self.is_sound(*at));
         if let Some(at) = candidates.into_iter().max_by_key(|at| self.contenders[*at].received) {
             return self.adopt(at);
@@ -253,7 +253,7 @@
     ///
     /// The identifier does not tell the incarnations apart that have it; of these, one whose start is
     /// earlier, or whose service is not that of the VM, has to go on sending heartbeats instead.
-    fn precedes(&self, server: &Server) -> bool {
+    fn replaces_current(&self, server: &Server) -> bool {
         let Some(current) = self.server().filter(|it| it.id == server.id) else { return true };
         let rank = |it: &Server| (it.service == self.service, it.started_ms);
         rank(server) > rank(current)
