--- a/crates/fleet/src/local_server.rs
+++ b/crates/fleet/src/local_server.rs
@@ -137,7 +137,7 @@
         } else if drains {
             // Kept as a leave, since the answer to the heartbeat acknowledges it.
             if let Some(notice) = LeaveNotice::of(&beat.server) {
-                self.end_contenders(now, &notice);
+                self.doubt_contenders(now, &notice);
                 if !self.leaves.record(now, notice) {
                     return ServerUpdate::Refused;
                 }
@@ -219,7 +219,7 @@
             Stay::Stays => {}
             Stay::Unclear => self.contenders.iter_mut().for_each(|it| it.late |= it.count == 1),
             Stay::Leaves => {
-                self.end_contenders(now, &LeaveNotice { id: id.clone(), started_ms: None });
+                self.doubt_contenders(now, &LeaveNotice { id: id.clone(), started_ms: None });
                 let current = self.current.as_mut().filter(|it| it.server.id == *id);
                 return current.map_or(ServerUpdate::Unchanged, |it| it.drain(now));
             }
@@ -297,7 +297,7 @@
     /// `started_ms` is the start time of the incarnation, if the notice states it.
     pub fn leave(&mut self, now: Time, id: &EndpointId, started_ms: Option<u64>) -> ServerUpdate {
         let notice = LeaveNotice { id: id.clone(), started_ms };
-        self.end_contenders(now, &notice);
+        self.doubt_contenders(now, &notice);
         match self.current.as_mut().filter(|it| it.server.id == *id) {
             Some(current) if notice.is_about(&current.server) => current.leave(now),
             _ if !self.leaves.record(now, notice) => ServerUpdate::Refused,
@@ -309,7 +309,7 @@
     /// Doubts the contenders with the identifier of a server that leaves, and records the leave of those
     /// that the notice may be about. A notice without a start is about the incarnation that runs now,
     /// whichever that is.
-    fn end_contenders(&mut self, now: Time, notice: &LeaveNotice) {
+    fn doubt_contenders(&mut self, now: Time, notice: &LeaveNotice) {
         let leaves = &mut self.leaves;
         for contender in self.contenders.iter_mut().filter(|it| it.beat.server.id == notice.id) {
             let server = &contender.beat.server;
--- a/crates/sidecar/src/heartbeats.rs
+++ b/crates/sidecar/src/heartbeats.rs
@@ -9,10 +9,7 @@
 use shallottack_kernel::EndpointId;
 use shallottack_site::{READY_PATH, heartbeat};
 
-use crate::{
-    events::Event,
-    node::{Node, ServerChange},
-};
+use crate::{events::Event, node::Node, server::ServerChange};
 
 /// Longest time for which the acknowledgement of a leave waits until the leave outlives this daemon;
 /// backend servers wait for one second.
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -28,6 +28,7 @@
 mod revoke;
 mod rollouts;
 mod sender;
+mod server;
 mod settings;
 mod sync;
 mod telemetry;
