--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -12,7 +12,7 @@
 pub const LARGE_BYTES: usize = 16 * 1024;
 /// Share of the link that large messages fill. The rest is left to headers, acknowledgements and
 /// messages that this record does not see.
-const PACED_SHARE: f64 = 0.8;
+pub(crate) const PACED_SHARE: f64 = 0.8;
 
 /// Messages that a VM sends over its link.
 #[derive(Debug)]
--- a/crates/fleet/src/slots.rs
+++ b/crates/fleet/src/slots.rs
@@ -161,7 +161,8 @@
     pub limit: u32,
     /// Time for which the running requests have run, in thousandths of their usual run time.
     pub elapsed_permille: u32,
-    /// Time until the link of the VM has carried the messages sent so far, in milliseconds.
+    /// Time until the link of the VM has carried the large messages so far, in milliseconds: the
+    /// longer one of the two directions.
     pub link_ms: u32,
     /// Rate at which the backend server takes requests.
     pub pace: Pace,
@@ -302,6 +303,33 @@
         Admission::Wait
     }
 
+    /// Decides on a request whose body has to come first, which takes `transfer`. Returns the longest time
+    /// that the body may wait for its turn.
+    ///
+    /// # Errors
+    ///
+    /// Returns the rejection, as for an arrival now.
+    pub fn check_ahead(
+        &mut self,
+        now: Time,
+        arrival: &Arrival,
+        transfer: Duration,
+    ) -> Result<Duration, (ErrorKind, Duration)> {
+        if self.limit == 0 {
+            return Err((ErrorKind::NoEndpoint, self.settings.min_retry));
+        }
+        self.usage.update(now);
+        let max_wait = self.max_wait(now, arrival, self.run_time(&arrival.route) + transfer);
+        let free = self.has_room(now) && self.queue.is_empty();
+        let wait = if free { Duration::ZERO } else { self.arrival_wait(now, arrival) };
+        let full = self.queue.len() >= self.settings.max_queued;
+        if (!free && !arrival.may_wait) || wait > max_wait || full {
+            let retry_after = wait.saturating_sub(max_wait).max(self.settings.min_retry);
+            return Err((ErrorKind::Overloaded, retry_after));
+        }
+        Ok(max_wait)
+    }
+
     /// Returns the lowest ticket with which an arrival would be admitted now, or `None` if it would
     /// be rejected with any ticket.
     pub fn lowest_ticket(&mut self, now: Time, arrival: &Arrival) -> Option<Ticket> {
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -11,6 +11,7 @@
 mod fetch;
 mod fixture;
 mod foreign;
+mod intake;
 mod link;
 mod neighbours;
 mod organisations;
--- a/crates/rpc/src/fleet.rs
+++ b/crates/rpc/src/fleet.rs
@@ -1,11 +1,14 @@
 //! Calls between the daemons of a fleet, over HTTP/2 connections.
 //!
 //! Large requests have a connection of their own, so that small ones do not wait behind their bodies.
+//! Their bodies are sent when the receiver has granted them, and then as fast as it reads them: at any
+//! time, no more than the window of its stream is on the way of each.
 
 use std::{
     collections::HashMap,
     error::Error,
     future::Future,
+    iter,
     net::SocketAddr,
     pin::{Pin, pin},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -14,13 +17,14 @@
 };
 
 use async_std::{
+    channel::{Receiver, bounded},
     future::timeout,
     net::{TcpListener, TcpStream},
     task::{self, JoinHandle},
 };
 use async_trait::async_trait;
 use bytes::Bytes;
-use futures_lite::{Stream, StreamExt, stream};
+use futures_lite::{Stream, StreamExt, future, stream};
 use hyper::{
     body::Incoming,
     client::conn::http2::{Builder as ClientBuilder, SendRequest},
@@ -61,10 +65,13 @@
 /// the links of both VMs; ten bodies of 360 kB take 2.9 s on a link of 10 Mbit/s.
 const SERVER_PING_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Largest part of an answer that is on the way before the receiver has read it, in bytes. Small
-/// answers of other calls wait behind it: 13 ms on a link of 10 Mbit/s. A link of 1,000 Mbit/s with
-/// a round trip of 1 ms still carries 128 Mbit/s a call.
+/// Largest part of a body that is on the way before the receiver has read it, in bytes. Small messages
+/// of other calls wait behind it: 13 ms on a link of 10 Mbit/s. A link of 1,000 Mbit/s with a round
+/// trip of 1 ms still carries 128 Mbit/s a call.
 const STREAM_WINDOW_BYTES: u32 = 16 * 1024;
+/// Length from which the body of a request is granted by the receiver, in bytes. A shorter one fits in
+/// the window of its stream.
+pub const GRANTED_BYTES: usize = STREAM_WINDOW_BYTES as usize;
 
 /// Error of a call to another daemon; tells whether the daemon may have received it.
 #[derive(Debug, Clone, thiserror::Error)]
@@ -91,6 +98,8 @@
 pub trait FleetHandler: Send + Sync + 'static {
     /// Runs a request with a head and a body at the backend server on the same VM as this daemon.
     async fn run(&self, head: Bytes, body: Body) -> Result<(Vec<u8>, Body), String>;
+    /// Waits until the body of a request may come, which is not sent before.
+    async fn grant(&self, head: Bytes, bytes: usize) -> Result<BodyTurn, String>;
     /// Refuses a request for whose body there is no memory; returns the head of the reply.
     fn refuse(&self, head: Bytes) -> Result<Vec<u8>, String>;
     /// Returns the budget of the memory for bodies.
@@ -101,6 +110,25 @@
     fn revoke(&self, frame: Frame) -> Result<Frame, String>;
 }
 
+/// Whether the body of a request may come.
+pub enum BodyTurn {
+    /// It may come now.
+    Granted(Box<dyn GrantedCall>),
+    /// The request is refused; the head of the reply.
+    Refused(Vec<u8>),
+}
+
+/// A request whose body may come. Dropped if the body does not come.
+#[async_trait]
+pub trait GrantedCall: Send {
+    /// Returns the time within which the body has to come.
+    fn time_left(&self) -> Duration;
+    /// Records that bytes of the body have arrived.
+    fn record_arrival(&mut self, bytes: usize);
+    /// Runs the request at the backend server on the same VM as this daemon.
+    async fn run(self: Box<Self>, body: Body) -> Result<(Vec<u8>, Body), String>;
+}
+
 /// Connection to a daemon, by what it carries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Lane {
@@ -361,15 +389,26 @@
     ///
     /// Returns [`PeerError`], which tells whether the call may have reached the daemon.
     pub async fn run(mut self, head: Vec<u8>, body: Body) -> Result<(Bytes, Body), PeerError> {
-        let reply = self.client.run(stream::iter(frames(head, body))).await;
+        let large = body.len() >= GRANTED_BYTES;
+        let (grant, granted) = bounded(1);
+        let reply = if large {
+            self.client.run(granted_frames(head, body, granted)).await
+        } else {
+            self.client.run(stream::iter(frames(head, body))).await
+        };
         let mut frames = self.peers.finish(self.to, self.lane, reply)?;
         let cut = |it: Status| PeerError::Cut(it.to_string());
-        let first = first_frame(&mut frames).await.map_err(cut)?;
+        let mut first = first_frame(&mut frames).await.map_err(cut)?;
+        if large && first.granted {
+            // The channel has room for the one message.
+            grant.try_send(()).ok();
+            first = first_frame(&mut frames).await.map_err(cut)?;
+        }
         let mut reservation = self.peers.memory.open(Kind::Response);
         let length = first.body_bytes as usize;
         let reserved = reservation.grow(length).await;
         reserved.map_err(|it| PeerError::Cut(it.to_string()))?;
-        let (head, body) = receive(first, &mut frames).await.map_err(cut)?;
+        let (head, body) = receive(first, &mut frames, |_| ()).await.map_err(cut)?;
         Ok((head, body.holding(reservation)))
     }
 }
@@ -378,15 +417,33 @@
 pub type PeerResult = Result<Frame, PeerError>;
 
 fn frame(head: Vec<u8>) -> Frame {
-    Frame { protocol: PROTOCOL, head: head.into(), body: Bytes::new(), body_bytes: 0 }
+    Frame { protocol: PROTOCOL, head: head.into(), ..Frame::default() }
+}
+
+/// Returns the head of a message, and the pieces of its body once it is granted. Without a grant, the
+/// body is not sent; the receiver ends the call.
+fn granted_frames(
+    head: Vec<u8>,
+    body: Body,
+    granted: Receiver<()>,
+) -> impl Stream<Item = Frame> + Send {
+    let first = Frame { body_bytes: body.len() as u64, ..frame(head) };
+    let body = stream::once_future(async move {
+        match granted.recv().await {
+            Ok(()) => body,
+            Err(_) => future::pending().await,
+        }
+    });
+    let pieces = body.flat_map(|mut body| stream::iter(iter::from_fn(move || body.next_piece())));
+    stream::once(first).chain(pieces.map(|it| Frame { body: it, ..frame(Vec::new()) }))
 }
 
 /// Divides a message into frames of one piece of the body each, which are encoded one by one.
 fn frames(head: Vec<u8>, mut body: Body) -> impl Iterator<Item = Frame> + Send {
     let body_bytes = body.len() as u64;
     let first = Frame { body: body.next_piece().unwrap_or_default(), body_bytes, ..frame(head) };
-    let rest = std::iter::from_fn(move || body.next_piece());
-    std::iter::once(first).chain(rest.map(|it| Frame { body: it, ..frame(Vec::new()) }))
+    let rest = iter::from_fn(move || body.next_piece());
+    iter::once(first).chain(rest.map(|it| Frame { body: it, ..frame(Vec::new()) }))
 }
 
 /// Receives the first frame of a message.
@@ -397,8 +454,13 @@
     Ok(first)
 }
 
-/// Receives the rest of a message whose memory is reserved.
-async fn receive(first: Frame, frames: &mut Streaming<Frame>) -> Result<(Bytes, Body), Status> {
+/// Receives the rest of a message whose memory is reserved, and calls `arrived` with the length of each
+/// part of its body.
+async fn receive(
+    first: Frame,
+    frames: &mut Streaming<Frame>,
+    mut arrived: impl FnMut(usize),
+) -> Result<(Bytes, Body), Status> {
     let length = first.body_bytes as usize;
     let mut buffer = BodyBuffer::default();
     let mut left = length.checked_sub(first.body.len());
@@ -410,6 +472,7 @@
         if left.is_none() {
             break;
         }
+        arrived(frame.body.len());
         buffer.extend(&frame.body);
     }
     if left != Some(0) {
@@ -433,9 +496,53 @@
 
 struct FleetService<H>(Arc<H>);
 
+/// Replies to a request.
+type Replies = Pin<Box<dyn Stream<Item = Result<Frame, Status>> + Send>>;
+
+impl<H: FleetHandler> FleetService<H> {
+    /// Runs a request whose body comes when it is granted.
+    async fn run_granted(
+        &self,
+        first: Frame,
+        mut messages: Streaming<Frame>,
+    ) -> Result<Response<Replies>, Status> {
+        let length = first.body_bytes as usize;
+        let turn = self.0.grant(first.head.clone(), length).await;
+        let mut call = match turn.map_err(Status::invalid_argument)? {
+            BodyTurn::Granted(call) => call,
+            BodyTurn::Refused(head) => return Ok(refusal(head)),
+        };
+        let mut reservation = self.0.memory().open(Kind::Request);
+        if !reservation.try_grow(length) {
+            drop(call);
+            let head = self.0.refuse(first.head).map_err(Status::invalid_argument)?;
+            return Ok(refusal(head));
+        }
+        let reply = async move {
+            let within = call.time_left();
+            let body = receive(first, &mut messages, |it| call.record_arrival(it));
+            let body = timeout(within, body).await;
+            let (_, body) = body.map_err(|_| Status::deadline_exceeded("no body in time"))??;
+            call.run(body.holding(reservation)).await.map_err(Status::invalid_argument)
+        };
+        let grant = Frame { granted: true, ..frame(Vec::new()) };
+        let reply = stream::once_future(reply).flat_map(|it| -> Replies {
+            match it {
+                Ok((head, body)) => Box::pin(stream::iter(frames(head, body).map(Ok))),
+                Err(status) => Box::pin(stream::once(Err(status))),
+            }
+        });
+        Ok(Response::new(Box::pin(stream::once(Ok(grant)).chain(reply))))
+    }
+}
+
+fn refusal(head: Vec<u8>) -> Response<Replies> {
+    Response::new(Box::pin(stream::iter(frames(head, Body::default()).map(Ok))))
+}
+
 #[async_trait]
 impl<H: FleetHandler> Fleet for FleetService<H> {
-    type RunStream = Pin<Box<dyn Stream<Item = Result<Frame, Status>> + Send>>;
+    type RunStream = Replies;
 
     async fn run(
         &self,
@@ -443,9 +550,12 @@
     ) -> Result<Response<Self::RunStream>, Status> {
         let mut messages = request.into_inner();
         let first = first_frame(&mut messages).await?;
+        if first.body_bytes as usize >= GRANTED_BYTES {
+            return self.run_granted(first, messages).await;
+        }
         let mut reservation = self.0.memory().open(Kind::Request);
         let reply = if reservation.try_grow(first.body_bytes as usize) {
-            let (head, body) = receive(first, &mut messages).await?;
+            let (head, body) = receive(first, &mut messages, |_| ()).await?;
             self.0.run(head, body.holding(reservation)).await
         } else {
             self.0.refuse(first.head).map(|it| (it, Body::default()))
@@ -495,6 +605,7 @@
     // An error means a broken connection: its calls are cancelled, and the peer opens it again.
     let _ = ServerBuilder::new(Spawner)
         .timer(SmolTimer::new())
+        .initial_stream_window_size(STREAM_WINDOW_BYTES)
         .keep_alive_interval(SERVER_PING_INTERVAL)
         .keep_alive_timeout(SERVER_PING_TIMEOUT)
         .serve_connection(FuturesIo::new(PacedStream::new(stream)), service)
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -16,7 +16,8 @@
 
 pub use client::{DeliverError, Peers, PeersSettings};
 pub use fleet::{
-    ExchangeWaits, FleetHandler, FleetPeers, Lane, PeerCall, PeerError, PeerResult, serve_fleet,
+    BodyTurn, ExchangeWaits, FleetHandler, FleetPeers, GRANTED_BYTES, GrantedCall, Lane, PeerCall,
+    PeerError, PeerResult, serve_fleet,
 };
 pub use generated::{Envelope, Frame};
 pub use io::Traffic;
--- a/crates/rpc/tests/suite/fleet.rs
+++ b/crates/rpc/tests/suite/fleet.rs
@@ -1,9 +1,10 @@
 //! Calls between daemons on busy, silent and cut connections.
 
 use std::{
+    ops::Deref,
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering::SeqCst},
+        atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst},
     },
     time::{Duration, Instant},
 };
@@ -15,24 +16,77 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use shallottack_http::{Body, BudgetSettings, MemoryBudget};
-use shallottack_rpc::{FleetHandler, FleetPeers, Frame, Lane, PROTOCOL, PeerError, serve_fleet};
-
-use crate::proxy::Proxy;
+use shallottack_rpc::{
+    BodyTurn, FleetHandler, FleetPeers, Frame, GrantedCall, Lane, PROTOCOL, PeerError, serve_fleet,
+};
+use shallottack_standins::link::{Proxy, Queue};
 
 /// Size of a large body in bytes.
 const LARGE: usize = 360_000;
 /// Run time of a request.
 const RUN: Duration = Duration::from_millis(100);
 
-/// Handler that counts its calls.
+/// Number of bodies that the handler grants at the same time.
+const TURNS: usize = 2;
+
+/// Handler that counts its calls, and grants one body after another.
 struct Counting {
     memory: MemoryBudget,
     runs: AtomicUsize,
     revocations: AtomicUsize,
+    /// Whether no body is granted.
+    holds: AtomicBool,
+    /// Numbers of bodies that are granted now, and at most so far.
+    granted: AtomicUsize,
+    most_granted: AtomicUsize,
+}
+
+/// A granted call of the handler.
+struct Granted {
+    handler: Arc<Counting>,
+    head: Bytes,
+}
+
+impl Drop for Granted {
+    fn drop(&mut self) {
+        self.handler.granted.fetch_sub(1, SeqCst);
+    }
 }
 
 #[async_trait]
-impl FleetHandler for Counting {
+impl GrantedCall for Granted {
+    fn time_left(&self) -> Duration {
+        Duration::from_secs(20)
+    }
+
+    fn record_arrival(&mut self, _: usize) {}
+
+    async fn run(self: Box<Self>, body: Body) -> Result<(Vec<u8>, Body), String> {
+        let (handler, head) = (Arc::clone(&self.handler), self.head.clone());
+        drop(self);
+        handler.run(head, body).await
+    }
+}
+
+/// Link to a daemon.
+struct Link {
+    proxy: Proxy,
+    /// Queue towards the daemon.
+    to: Queue,
+}
+
+impl Deref for Link {
+    type Target = Proxy;
+
+    fn deref(&self) -> &Proxy {
+        &self.proxy
+    }
+}
+
+/// Handler of a daemon.
+struct Daemon(Arc<Counting>);
+
+impl Counting {
     async fn run(&self, head: Bytes, _: Body) -> Result<(Vec<u8>, Body), String> {
         if head.as_ref() == b"invalid" {
             return Err("invalid".to_owned());
@@ -41,13 +95,33 @@
         task::sleep(RUN).await;
         Ok((head.to_vec(), Body::default()))
     }
+}
+
+#[async_trait]
+impl FleetHandler for Daemon {
+    async fn run(&self, head: Bytes, body: Body) -> Result<(Vec<u8>, Body), String> {
+        self.0.run(head, body).await
+    }
+
+    async fn grant(&self, head: Bytes, _: usize) -> Result<BodyTurn, String> {
+        if head.as_ref() == b"refused" {
+            return Ok(BodyTurn::Refused(head.to_vec()));
+        }
+        let full = |it: &Counting| it.holds.load(SeqCst) || it.granted.load(SeqCst) >= TURNS;
+        while full(&self.0) {
+            task::sleep(Duration::from_millis(1)).await;
+        }
+        let granted = self.0.granted.fetch_add(1, SeqCst) + 1;
+        self.0.most_granted.fetch_max(granted, SeqCst);
+        Ok(BodyTurn::Granted(Box::new(Granted { handler: Arc::clone(&self.0), head })))
+    }
 
     fn refuse(&self, head: Bytes) -> Result<Vec<u8>, String> {
         Ok(head.to_vec())
     }
 
     fn memory(&self) -> &MemoryBudget {
-        &self.memory
+        &self.0.memory
     }
 
     async fn sync(&self, frame: Frame) -> Result<Frame, String> {
@@ -58,7 +132,7 @@
     }
 
     fn revoke(&self, frame: Frame) -> Result<Frame, String> {
-        self.revocations.fetch_add(1, SeqCst);
+        self.0.revocations.fetch_add(1, SeqCst);
         Ok(Frame { protocol: PROTOCOL, ..frame })
     }
 }
@@ -69,16 +143,23 @@
 }
 
 /// Starts a daemon behind a link.
-async fn start() -> (Arc<Counting>, Proxy, FleetPeers) {
-    let (runs, revocations) = (AtomicUsize::new(0), AtomicUsize::new(0));
-    let handler = Arc::new(Counting { memory: memory(), runs, revocations });
+async fn start() -> (Arc<Counting>, Link, FleetPeers) {
+    let handler = Arc::new(Counting {
+        memory: memory(),
+        runs: AtomicUsize::new(0),
+        revocations: AtomicUsize::new(0),
+        holds: AtomicBool::new(false),
+        granted: AtomicUsize::new(0),
+        most_granted: AtomicUsize::new(0),
+    });
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
-    let proxy = Proxy::start(listener.local_addr().unwrap());
-    drop(serve_fleet(listener, Arc::clone(&handler)));
-    (handler, proxy, FleetPeers::new(memory()))
+    let to = Queue::default();
+    let proxy = Proxy::start(listener.local_addr().unwrap(), &to, &Queue::default());
+    drop(serve_fleet(listener, Arc::new(Daemon(Arc::clone(&handler)))));
+    (handler, Link { proxy, to }, FleetPeers::new(memory()))
 }
 
-async fn run(peers: &FleetPeers, proxy: &Proxy, lane: Lane, bytes: usize) -> Result<(), PeerError> {
+async fn run(peers: &FleetPeers, proxy: &Link, lane: Lane, bytes: usize) -> Result<(), PeerError> {
     let call = peers.open_call(proxy.address, lane).await?;
     call.run(b"head".to_vec(), Body::from(Bytes::from(vec![1; bytes]))).await.map(|_| ())
 }
@@ -240,3 +321,71 @@
         assert_eq!(proxy.accepted(), 2, "an answer arrived within the time limit");
     });
 }
+
+/// Guards against bodies that cross a link although their receiver has no use for them yet, or never:
+/// together they delay all small messages to it.
+#[test]
+fn body_crosses_the_link_before_it_is_granted() {
+    block_on(async {
+        let (handler, proxy, peers) = start().await;
+        handler.holds.store(true, SeqCst);
+        let before = proxy.to.forwarded();
+        let held = run(&peers, &proxy, Lane::Large, LARGE);
+        let during = async {
+            task::sleep(RUN * 2).await;
+            // The head, and what opens the connection.
+            assert!(proxy.to.forwarded() - before < 1_000, "{}", proxy.to.forwarded() - before);
+            handler.holds.store(false, SeqCst);
+        };
+        let (held, ()) = futures_lite::future::zip(held, during).await;
+        held.unwrap();
+        assert_eq!(handler.runs.load(SeqCst), 1);
+
+        let before = proxy.to.forwarded();
+        let call = peers.open_call(proxy.address, Lane::Large).await.unwrap();
+        let body = Body::from(Bytes::from(vec![1; LARGE]));
+        let (head, _) = call.run(b"refused".to_vec(), body).await.unwrap();
+        assert_eq!(head.as_ref(), b"refused");
+        assert!(proxy.to.forwarded() - before < 1_000, "{}", proxy.to.forwarded() - before);
+    });
+}
+
+/// Guards against a small message that waits behind the bodies of all daemons that send to one VM: a
+/// daemon learned of a configuration seconds after all others.
+#[test]
+fn small_message_waits_behind_the_bodies_of_many_daemons() {
+    block_on(async {
+        let (handler, proxy, peers) = start().await;
+        run(&peers, &proxy, Lane::Small, 10).await.unwrap();
+        proxy.to.limit(1_250_000);
+        let senders: Vec<_> = (0..12)
+            .map(|_| {
+                let address = proxy.address;
+                task::spawn(async move {
+                    let peers = FleetPeers::new(memory());
+                    let call = peers.open_call(address, Lane::Large).await?;
+                    let body = Body::from(Bytes::from(vec![1; LARGE]));
+                    call.run(b"head".to_vec(), body).await.map(|_| ())
+                })
+            })
+            .collect();
+        let began = Instant::now();
+        let mut slowest = Duration::ZERO;
+        while began.elapsed() < Duration::from_secs(2) {
+            let sent = Instant::now();
+            let within = Duration::from_secs(5);
+            peers.sync(proxy.address, b"state".to_vec(), within).await.unwrap();
+            slowest = slowest.max(sent.elapsed());
+            task::sleep(Duration::from_millis(20)).await;
+        }
+        for sender in senders {
+            sender.await.unwrap();
+        }
+        // 12 bodies of 360 kB on a link of 10 Mbit/s.
+        let ideal = Duration::from_secs_f64((12 * LARGE) as f64 / 1_250_000.0);
+        println!("slowest exchange {slowest:?}, bodies {:?} of {ideal:?}", began.elapsed());
+        assert!(slowest < Duration::from_millis(300), "{slowest:?}");
+        assert!(began.elapsed() < ideal.mul_f64(1.25), "{:?} of {ideal:?}", began.elapsed());
+        assert_eq!(handler.most_granted.load(SeqCst), TURNS);
+    });
+}
--- a/crates/rpc/tests/suite/main.rs
+++ b/crates/rpc/tests/suite/main.rs
@@ -1,4 +1,3 @@
 //! Tests of the connections between daemons over a link that stalls or is slow.
 
 mod fleet;
-mod proxy;
--- a/crates/shallottackd/tests/suite/fleet.rs
+++ b/crates/shallottackd/tests/suite/fleet.rs
@@ -582,7 +582,9 @@
     view.set_down(true);
     store.put("op", "config", &configuration("00000002", &["/count/", "/late/"]));
     eventually("the new route is in force", || shop.get("/late/1", "l1").status == 200);
-    assert!(shop.metric("shallottack_fetches_total{outcome=\"config\"}") > 0);
+    let by_others = ["announced", "replied", "fetched"]
+        .map(|way| shop.metric(&format!("shallottack_configs_total{{way=\"{way}\"}}")));
+    assert_eq!(by_others.iter().sum::<u64>(), 1, "{by_others:?}");
     store.put("op", "config", &configuration("00000003", &["/late/"]));
     eventually("the old route is gone", || shop.get("/count/1", "c1").status == 404);
 }
--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -447,6 +447,7 @@
         method: call.method.clone(),
         target: call.target.clone(),
         headers: call.headers.clone(),
+        delay: Duration::ZERO,
     };
     let Some(stamp) = stamp else {
         let next = relay::new_arrival(TaskId::default(), now, &request);
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -235,7 +235,7 @@
 }
 
 /// Starts, in an endless loop, queued requests when the rate limit allows it, and rejects those that
-/// can no longer be served in time.
+/// can no longer be served in time. Does the same for bodies that wait for their turn on the link.
 async fn dispatch(node: Arc<Node>) {
     loop {
         let next = node.shared().slots.next_start(node.now());
@@ -244,6 +244,8 @@
             let mut shared = node.shared();
             let wakes = shared.slots.dispatch(node.now());
             shared.wake(&wakes);
+            let wakes = shared.intake.advance(node.now());
+            shared.wake_bodies(&wakes);
         }
         node.check_warmup();
     }
--- a/crates/sidecar/src/events.rs
+++ b/crates/sidecar/src/events.rs
@@ -235,8 +235,18 @@
         organisation: Option<&'a str>,
         ms: u64,
     },
+    Granted {
+        id: &'a str,
+        bytes: usize,
+        delay_ms: u64,
+        waited_ms: u64,
+        granted: usize,
+        on_way: usize,
+        waiting: usize,
+    },
     Admitted {
         id: &'a str,
+        delay_ms: u64,
         waited_ms: u64,
         running: u32,
         queued: u32,
@@ -245,6 +255,7 @@
     Refused {
         id: &'a str,
         kind: &'a str,
+        delay_ms: u64,
         running: u32,
         queued: u32,
         limit: u32,
@@ -320,9 +331,10 @@
 impl Event<'_> {
     fn importance(&self) -> Importance {
         match self {
-            Event::Placed { .. } | Event::Admitted { .. } | Event::Cancelled { .. } => {
-                Importance::Ordinary
-            }
+            Event::Placed { .. }
+            | Event::Granted { .. }
+            | Event::Admitted { .. }
+            | Event::Cancelled { .. } => Importance::Ordinary,
             Event::Answered { status, .. } if *status < 400 => Importance::Ordinary,
             Event::Ran { status, repeat: None, .. } if (1..400).contains(status) => {
                 Importance::Ordinary
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -17,6 +17,7 @@
 mod heartbeats;
 mod identify;
 mod in_progress;
+mod intake;
 mod listener;
 pub mod message;
 mod node;
--- a/crates/sidecar/src/message.rs
+++ b/crates/sidecar/src/message.rs
@@ -66,6 +66,9 @@
     pub target: String,
     /// Headers to forward, without hop-by-hop headers.
     pub headers: Vec<(String, Vec<u8>)>,
+    /// Lower bound of the time on the way, which the receiver finds.
+    #[serde(skip)]
+    pub delay: Duration,
 }
 
 /// Header of the reply to a [`RunRequest`]; the body of the response follows separately.
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -16,8 +16,8 @@
 };
 use rand::RngExt;
 use shallottack_fleet::{
-    Arrival, Blocklist, ColdSign, Configuration, Delays, Directory, Evacuations, FanOut,
-    FetchTracker, Kept, Link, Load, LocalServer, Member, MergeResult, NeighbourSettings,
+    Arrival, Blocklist, BodyWake, ColdSign, Configuration, Delays, Directory, Evacuations, FanOut,
+    FetchTracker, Intake, Kept, Link, Load, LocalServer, Member, MergeResult, NeighbourSettings,
     Neighbours, OrganisationLabels, Parents, Placement, QuotaBounds, QuotaRestart, Quotas,
     RejectedCallers, RetryBudget, RetryBudgetSettings, Rollout, RowVersion, Runs, SendId, Sends,
     Server, Slots, TaskId, Ticket, Tickets, Wake, store_reader_rank,
@@ -87,7 +87,7 @@
     pub const STORE: Origin<'static> = Origin { source: "store", way: Way::Store };
 }
 
-/// Decision about a request that waits for a slot.
+/// Decision about a request that waits for a slot, or for its body.
 #[derive(Debug, Clone, Copy)]
 pub enum SlotDecision {
     /// The request runs now.
@@ -114,6 +114,8 @@
     pub slots: Slots,
     /// Messages on the link of this VM.
     pub link: Link,
+    /// Bodies that other daemons send over the link of this VM.
+    pub intake: Intake,
     /// Sends received from other daemons.
     pub sends: Sends,
     /// Delays of the messages of other daemons.
@@ -142,6 +144,8 @@
     pub neighbours: Neighbours,
     /// Channels that report to each queued request whether it got a slot or was rejected.
     waiters: HashMap<TaskId, Sender<SlotDecision>>,
+    /// Channels that report to each request whose body waits whether it may come.
+    body_waiters: HashMap<TaskId, Sender<SlotDecision>>,
     /// When the process may exit; `None` unless it is stopping.
     stop_end: Option<Time>,
     /// Newest era of the store that is known.
@@ -262,6 +266,7 @@
             identifying: false,
             slots: Slots::new(policy.slots),
             link: Link::new(own.link_kbps),
+            intake: Intake::new(own.link_kbps),
             sends: Sends::new(clock.now()),
             delays: Delays::default(),
             rollouts: BTreeMap::new(),
@@ -276,6 +281,7 @@
             stated: HashMap::new(),
             neighbours: Neighbours::default(),
             waiters: HashMap::new(),
+            body_waiters: HashMap::new(),
             stop_end: None,
             era: None,
             runs: Runs::default(),
@@ -617,6 +623,34 @@
         }
     }
 
+    /// Registers a request whose body waits, and returns the receiver of the decision.
+    pub fn register_body(&mut self, task: TaskId) -> Receiver<SlotDecision> {
+        let (sender, receiver) = bounded(1);
+        self.body_waiters.insert(task, sender);
+        receiver
+    }
+
+    /// Sends decisions to requests whose bodies wait.
+    pub fn wake_bodies(&mut self, wakes: &[BodyWake]) {
+        for wake in wakes {
+            let (task, decision) = match wake {
+                BodyWake::Grant(task) => (task, SlotDecision::Run),
+                BodyWake::Refuse(task, after) => (task, SlotDecision::Reject(*after)),
+            };
+            // If the caller's daemon has just ended the call, the request ends its offer itself.
+            if let Some(waiter) = self.body_waiters.remove(task) {
+                waiter.try_send(decision).ok();
+            }
+        }
+    }
+
+    /// Ends the body of a request, which has arrived or does not come.
+    pub fn end_body(&mut self, now: Time, task: TaskId) {
+        self.body_waiters.remove(&task);
+        let wakes = self.intake.end(now, task);
+        self.wake_bodies(&wakes);
+    }
+
     /// Cancels a request, whether it is queued or running.
     pub fn cancel(&mut self, now: Time, task: TaskId) {
         self.waiters.remove(&task);
@@ -658,7 +692,7 @@
     /// Returns the load of the backend server; the limit is 0 while no requests should be sent
     /// to it.
     pub fn load(&self, now: Time) -> Load {
-        let link_ms = self.link.backlog(now).as_millis() as u32;
+        let link_ms = self.link.backlog(now).max(self.intake.backlog()).as_millis() as u32;
         let load = Load { link_ms, ..self.slots.load(now) };
         if self.backend_up(now) && !self.own.stopping { load } else { Load { limit: 0, ..load } }
     }
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -12,14 +12,15 @@
 };
 use shallottack_http::{Body, MemoryBudget};
 use shallottack_kernel::{ErrorKind, Time};
-use shallottack_rpc::{FleetHandler, Frame, PROTOCOL};
+use shallottack_rpc::{BodyTurn, FleetHandler, Frame, GrantedCall, PROTOCOL};
 
 use crate::{
     backend::{BackendRequest, BackendResponse, ExchangeOutcome},
     events::Event,
     in_progress::InProgressGuard,
+    intake::{BodyGuard, await_turn},
     message::{PeerMessage, RunOutcome, RunReply, RunRequest, decode, encode},
-    node::{Node, SlotDecision},
+    node::{Node, Shared, SlotDecision},
     quotas,
     rejection::MEMORY_RETRY_AFTER,
     repeats::{check_calls, log_calls},
@@ -29,8 +30,11 @@
 /// `Retry-After` of a refused request; its backend server may be available again by then.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// Why a request is refused, and when to retry.
+pub type Refusal = (ErrorKind, Duration);
+
 /// Refusal of a request whose deadline passed before its start, or that was revoked.
-const EXPIRED: (ErrorKind, Duration) = (ErrorKind::DeadlineUnmet, REFUSED_RETRY_AFTER);
+pub const EXPIRED: Refusal = (ErrorKind::DeadlineUnmet, REFUSED_RETRY_AFTER);
 
 /// `Retry-After` of a request of which another run is on trial; that run has ended by then as a rule.
 const TRIAL_RETRY_AFTER: Duration = Duration::from_millis(1_000);
@@ -45,50 +49,35 @@
         let _progress = InProgressGuard::new(&self.0);
         let arrived = self.0.now();
         count_delay(&self.0, arrived, &mut request);
+        Ok(run_for_peer(&self.0, request, body, arrived).await)
+    }
+
+    async fn grant(&self, head: Bytes, bytes: usize) -> Result<BodyTurn, String> {
+        let mut request: RunRequest = decode(&head)?;
+        let progress = InProgressGuard::new(&self.0);
+        let arrived = self.0.now();
+        count_delay(&self.0, arrived, &mut request);
         request.left = self.0.time_before_stop(arrived, request.left);
-        let next = new_arrival(TaskId::default(), arrived, &request);
-        let (outcome, body) = run(&self.0, request, body).await;
-        let held = self.0.shared().link.send(self.0.now(), body.len());
-        if !held.is_zero() {
-            metrics::histogram!("shallottack_link_wait_seconds").record(held.as_secs_f64());
-            task::sleep(held).await;
-        }
-        let reply = RunReply {
-            elapsed: self.0.now().since(arrived),
-            vm: self.0.settings.vm.clone(),
-            outcome,
-            load: self.0.load(),
-            lowest: self.0.lowest_ticket(arrived, next),
-            versions: self.0.versions(),
-        };
-        Ok((encode(&reply), body))
+        let turn = await_turn(&self.0, &request, bytes).await;
+        Ok(match turn {
+            Ok(body) => BodyTurn::Granted(Box::new(GrantedRun {
+                node: Arc::clone(&self.0),
+                request,
+                arrived,
+                body,
+                _progress: progress,
+            })),
+            Err(refusal) => {
+                let waited = self.0.now().since(arrived);
+                BodyTurn::Refused(refuse(&self.0, &request, refusal, waited))
+            }
+        })
     }
 
     fn refuse(&self, head: Bytes) -> Result<Vec<u8>, String> {
         let request: RunRequest = decode(&head)?;
-        let arrived = self.0.now();
-        let next = new_arrival(TaskId::default(), arrived, &request);
-        let (kind, retry_after) = (ErrorKind::Overloaded, MEMORY_RETRY_AFTER);
-        let load = self.0.load();
-        self.0.events.write(&Event::Refused {
-            id: &request.id,
-            kind: kind.as_str(),
-            running: load.running,
-            queued: load.queued,
-            limit: load.limit,
-            retry_after_ms: retry_after.as_millis() as u64,
-            waited_ms: 0,
-        });
-        metrics::counter!("shallottack_refused_total", "kind" => kind.as_str()).increment(1);
-        let reply = RunReply {
-            elapsed: Duration::ZERO,
-            vm: self.0.settings.vm.clone(),
-            outcome: RunOutcome::Refused { kind, retry_after },
-            load,
-            lowest: self.0.lowest_ticket(arrived, next),
-            versions: self.0.versions(),
-        };
-        Ok(encode(&reply))
+        let refusal = (ErrorKind::Overloaded, MEMORY_RETRY_AFTER);
+        Ok(refuse(&self.0, &request, refusal, Duration::ZERO))
     }
 
     fn memory(&self) -> &MemoryBudget {
@@ -101,7 +90,7 @@
             PeerMessage::Share(request) => encode(&quotas::answer(&self.0, &request)?),
         };
         let head = head.into();
-        Ok(Frame { protocol: PROTOCOL, head, body: Bytes::new(), body_bytes: 0 })
+        Ok(Frame { protocol: PROTOCOL, head, ..Frame::default() })
     }
 
     fn revoke(&self, frame: Frame) -> Result<Frame, String> {
@@ -109,6 +98,98 @@
     }
 }
 
+/// A request whose body may come over the link.
+struct GrantedRun {
+    node: Arc<Node>,
+    request: RunRequest,
+    /// When the head arrived.
+    arrived: Time,
+    body: BodyGuard,
+    _progress: InProgressGuard,
+}
+
+#[async_trait]
+impl GrantedCall for GrantedRun {
+    fn time_left(&self) -> Duration {
+        self.request.left.saturating_sub(self.node.now().since(self.arrived))
+    }
+
+    fn record_arrival(&mut self, bytes: usize) {
+        self.body.record_arrival(bytes);
+    }
+
+    async fn run(self: Box<Self>, body: Body) -> Result<(Vec<u8>, Body), String> {
+        let GrantedRun { node, mut request, arrived, body: turn, _progress } = *self;
+        drop(turn);
+        let passed = node.now().since(arrived);
+        metrics::histogram!("shallottack_body_seconds").record(passed.as_secs_f64());
+        request.goal = request.goal.saturating_sub(passed);
+        request.left = request.left.saturating_sub(passed);
+        // Another server would need the body once more.
+        request.may_wait = true;
+        Ok(run_for_peer(&node, request, body, arrived).await)
+    }
+}
+
+/// Runs a request of another daemon, the head of which arrived at `arrived`, and returns the reply.
+async fn run_for_peer(
+    node: &Arc<Node>,
+    mut request: RunRequest,
+    body: Body,
+    arrived: Time,
+) -> (Vec<u8>, Body) {
+    let now = node.now();
+    request.left = node.time_before_stop(now, request.left);
+    let next = new_arrival(TaskId::default(), now, &request);
+    let (outcome, body) = run(node, request, body).await;
+    let held = node.shared().link.send(node.now(), body.len());
+    if !held.is_zero() {
+        metrics::histogram!("shallottack_link_wait_seconds").record(held.as_secs_f64());
+        task::sleep(held).await;
+    }
+    let reply = RunReply {
+        elapsed: node.now().since(arrived),
+        vm: node.settings.vm.clone(),
+        outcome,
+        load: node.load(),
+        lowest: node.lowest_ticket(now, next),
+        versions: node.versions(),
+    };
+    (encode(&reply), body)
+}
+
+/// Logs and counts the refusal of a request that held no slot; `waited` is the time since it arrived.
+fn log_refusal(node: &Node, request: &RunRequest, (kind, retry_after): Refusal, waited: Duration) {
+    let load = node.load();
+    node.events.write(&Event::Refused {
+        id: &request.id,
+        kind: kind.as_str(),
+        delay_ms: request.delay.as_millis() as u64,
+        running: load.running,
+        queued: load.queued,
+        limit: load.limit,
+        retry_after_ms: retry_after.as_millis() as u64,
+        waited_ms: waited.as_millis() as u64,
+    });
+    metrics::counter!("shallottack_refused_total", "kind" => kind.as_str()).increment(1);
+}
+
+/// Refuses a request of another daemon whose body has not come; returns the head of the reply.
+fn refuse(node: &Node, request: &RunRequest, refusal: Refusal, waited: Duration) -> Vec<u8> {
+    log_refusal(node, request, refusal, waited);
+    let now = node.now();
+    let (kind, retry_after) = refusal;
+    let reply = RunReply {
+        elapsed: waited,
+        vm: node.settings.vm.clone(),
+        outcome: RunOutcome::Refused { kind, retry_after },
+        load: node.load(),
+        lowest: node.lowest_ticket(now, new_arrival(TaskId::default(), now, request)),
+        versions: node.versions(),
+    };
+    encode(&reply)
+}
+
 /// Releases a request's slot or queue place when the request ends or its caller disconnects.
 struct SlotGuard<'a> {
     node: &'a Node,
@@ -210,18 +291,9 @@
     let arrived = node.now();
     let slot = match acquire_slot(node, &request).await {
         Ok(slot) => slot,
-        Err((kind, retry_after)) => {
-            let load = node.load();
-            node.events.write(&Event::Refused {
-                id: &request.id,
-                kind: kind.as_str(),
-                running: load.running,
-                queued: load.queued,
-                limit: load.limit,
-                retry_after_ms: retry_after.as_millis() as u64,
-                waited_ms: node.now().since(arrived).as_millis() as u64,
-            });
-            metrics::counter!("shallottack_refused_total", "kind" => kind.as_str()).increment(1);
+        Err(refusal) => {
+            log_refusal(node, &request, refusal, node.now().since(arrived));
+            let (kind, retry_after) = refusal;
             return (RunOutcome::Refused { kind, retry_after }, Body::default());
         }
     };
@@ -242,6 +314,7 @@
     let load = node.load();
     node.events.write(&Event::Admitted {
         id: &request.id,
+        delay_ms: request.delay.as_millis() as u64,
         waited_ms: waited.as_millis() as u64,
         running: load.running,
         queued: load.queued,
@@ -317,10 +390,7 @@
 }
 
 /// Waits for a slot, or returns why the request is refused and when to retry.
-async fn acquire_slot<'a>(
-    node: &'a Node,
-    request: &RunRequest,
-) -> Result<SlotGuard<'a>, (ErrorKind, Duration)> {
+async fn acquire_slot<'a>(node: &'a Node, request: &RunRequest) -> Result<SlotGuard<'a>, Refusal> {
     let now = node.now();
     let task = node.next_task();
     node.check_connections();
@@ -335,16 +405,7 @@
         if send.is_some_and(|it| !shared.sends.arrive(now, it, task)) {
             return Err(EXPIRED);
         }
-        if shared.own.stopping {
-            return Err((ErrorKind::Stopping, REFUSED_RETRY_AFTER));
-        }
-        let expected = shared.local.server().is_some_and(|it| it.id == request.server);
-        if !expected || !shared.may_offer() || !shared.backend_up(now) {
-            return Err((ErrorKind::NoEndpoint, REFUSED_RETRY_AFTER));
-        }
-        if let Some(limit) = request.rate_limit {
-            shared.slots.assume_rate_limit(now, limit);
-        }
+        check_server(&mut shared, now, request)?;
         match shared.slots.arrive(now, new_arrival(task, now, request)) {
             Admission::Run => None,
             Admission::Wait => Some(shared.register_waiter(task)),
@@ -371,15 +432,30 @@
     Ok(slot)
 }
 
+/// Returns why a request is refused by the state of this daemon and of its backend server.
+pub fn check_server(shared: &mut Shared, now: Time, request: &RunRequest) -> Result<(), Refusal> {
+    if shared.own.stopping {
+        return Err((ErrorKind::Stopping, REFUSED_RETRY_AFTER));
+    }
+    let expected = shared.local.server().is_some_and(|it| it.id == request.server);
+    if !expected || !shared.may_offer() || !shared.backend_up(now) {
+        return Err((ErrorKind::NoEndpoint, REFUSED_RETRY_AFTER));
+    }
+    if let Some(limit) = request.rate_limit {
+        shared.slots.assume_rate_limit(now, limit);
+    }
+    Ok(())
+}
+
 /// Returns why a request is refused, and when to retry, whatever slots are free.
-fn check_start(node: &Node, request: &RunRequest) -> Result<(), (ErrorKind, Duration)> {
+pub fn check_start(node: &Node, request: &RunRequest) -> Result<(), Refusal> {
     node.check_evacuation()?;
     check_standing(node, request)?;
     check_calls(node, request).map_err(|kind| (kind, REFUSED_RETRY_AFTER))
 }
 
 /// Returns why a request is refused, and when to retry, if backend servers crashed while they ran it.
-fn check_standing(node: &Node, request: &RunRequest) -> Result<(), (ErrorKind, Duration)> {
+fn check_standing(node: &Node, request: &RunRequest) -> Result<(), Refusal> {
     match node.standing(request.key) {
         Standing::Free => Ok(()),
         Standing::Trial if !node.shared().runs.is_running(request.key) => Ok(()),
--- a/crates/sidecar/src/revoke.rs
+++ b/crates/sidecar/src/revoke.rs
@@ -5,12 +5,10 @@
 use async_std::task;
 use bytes::Bytes;
 use futures_lite::future;
-use shallottack_fleet::{
-    LARGE_BYTES, PendingSend, REVOKE_TIMEOUT, Revocation, SendEvent, SendId, SendStep,
-};
+use shallottack_fleet::{PendingSend, REVOKE_TIMEOUT, Revocation, SendEvent, SendId, SendStep};
 use shallottack_http::Body;
 use shallottack_kernel::{EndpointId, Time};
-use shallottack_rpc::{Frame, Lane, PROTOCOL, PeerError};
+use shallottack_rpc::{Frame, GRANTED_BYTES, Lane, PROTOCOL, PeerError};
 
 use crate::{
     events::Event,
@@ -66,7 +64,7 @@
 
 /// Sends a request, waits for the reply, and revokes the request if there is none in time.
 pub async fn send(node: &Node, send: OutgoingSend<'_>) -> SendResult {
-    let lane = if send.body.len() >= LARGE_BYTES { Lane::Large } else { Lane::Small };
+    let lane = if send.body.len() >= GRANTED_BYTES { Lane::Large } else { Lane::Small };
     let left = send.deadline.since(send.began);
     let opening = node.peers.open_call(send.address, lane);
     let call = match async_std::future::timeout(left, opening).await {
@@ -208,7 +206,7 @@
     });
     let reply = RevokeReply { vm: node.settings.vm.clone(), revocation };
     let head = encode(&reply).into();
-    Ok(Frame { protocol: PROTOCOL, head, body: Bytes::new(), body_bytes: 0 })
+    Ok(Frame { protocol: PROTOCOL, head, ..Frame::default() })
 }
 
 /// Takes the time that a request was on the way from its time left.
@@ -216,6 +214,7 @@
     let Some(stamp) = request.stamp else { return };
     let delay = node.shared().delays.record(now, stamp.id.daemon, stamp.sent);
     metrics::histogram!("shallottack_request_delay_seconds").record(delay.as_secs_f64());
+    request.delay = delay;
     request.goal = request.goal.saturating_sub(delay);
     request.left =
         if delay > MAX_ON_WAY { Duration::ZERO } else { request.left.saturating_sub(delay) };
--- a/crates/sidecar/src/telemetry.rs
+++ b/crates/sidecar/src/telemetry.rs
@@ -53,6 +53,13 @@
     metrics::gauge!("shallottack_memory_peak_bytes").set(node.memory.peak() as f64);
     let cold_rate = node.shared().slots.cold_limit(node.now()).map_or(0.0, RateLimit::rate);
     metrics::gauge!("shallottack_backend_cold_rate").set(cold_rate);
+    let (on_way, granted, waiting) = {
+        let shared = node.shared();
+        (shared.intake.on_way(), shared.intake.granted(), shared.intake.waiting())
+    };
+    metrics::gauge!("shallottack_body_bytes_on_way").set(on_way as f64);
+    metrics::gauge!("shallottack_bodies_granted").set(granted as f64);
+    metrics::gauge!("shallottack_bodies_waiting").set(waiting as f64);
     let evacuated = node.shared().evacuations.active().count();
     metrics::gauge!("shallottack_evacuated_data_centres").set(evacuated as f64);
     record_budgets(&node);
--- a/crates/sidecar/tests/suite/revoke.rs
+++ b/crates/sidecar/tests/suite/revoke.rs
@@ -62,6 +62,7 @@
             method: "GET".to_owned(),
             target: format!("/{id}"),
             headers: vec![("request-id".to_owned(), id.clone().into_bytes())],
+            delay: Duration::ZERO,
             id,
         };
         let call = self.peers.open_call(self.to, Lane::Small).await.unwrap();
--- a/crates/sidecar/tests/suite/slow_link.rs
+++ b/crates/sidecar/tests/suite/slow_link.rs
@@ -5,12 +5,10 @@
 
 use std::{
     fs,
-    io::{Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{SocketAddr, TcpListener},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst},
-        mpsc,
+        atomic::{AtomicUsize, Ordering::SeqCst},
     },
     thread,
     time::{Duration, Instant},
@@ -20,17 +18,21 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use serde_json::json;
-use shallottack_fleet::{Load, Member};
+use shallottack_fleet::{Load, Member, Rank, RequestKey, SendId, Ticket};
 use shallottack_http::{Body, BudgetSettings, MemoryBudget};
-use shallottack_kernel::{DataCentre, EndpointId};
-use shallottack_rpc::{FleetHandler, FleetPeers, Frame, PROTOCOL, serve_fleet};
+use shallottack_kernel::{DataCentre, EndpointId, ServiceName, Time};
+use shallottack_rpc::{BodyTurn, FleetHandler, FleetPeers, Frame, Lane, PROTOCOL, serve_fleet};
 use shallottack_sidecar::{
     config_history::{ConfigHistory, StoredConfig},
     message::{
-        Gossip, OperatorRows, PeerMessage, SyncReply, SyncRequest, Versions, decode, encode,
+        Gossip, OperatorRows, PeerMessage, RunOutcome, RunReply, RunRequest, SendStamp, SyncReply,
+        SyncRequest, Versions, decode, encode,
     },
 };
-use shallottack_standins::site::{SiteServer, SiteStore, exchange};
+use shallottack_standins::{
+    link::{Proxy, Queue},
+    site::{Answering, SiteServer, SiteStore, exchange},
+};
 use smallvec::SmallVec;
 
 /// Time in which the daemon starts and knows the other one.
@@ -40,51 +42,6 @@
 /// Shortest time within which a configuration has to be in force, as stated by the sites.
 const CONFIG_APPLY: Duration = Duration::from_secs(2);
 
-/// Forwards connections; what they carry, and their opening, is on the way for `delay`.
-fn delayed(to: SocketAddr, slow: &Arc<AtomicBool>) -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
-    let address = listener.local_addr().unwrap();
-    let slow = Arc::clone(slow);
-    thread::spawn(move || {
-        for client in listener.incoming() {
-            let (client, slow) = (client.unwrap(), Arc::clone(&slow));
-            thread::spawn(move || {
-                let Ok(server) = TcpStream::connect(to) else { return };
-                for (from, to) in
-                    [(client.try_clone().unwrap(), server.try_clone().unwrap()), (server, client)]
-                {
-                    let slow = Arc::clone(&slow);
-                    thread::spawn(move || forward(from, to, &slow));
-                }
-            });
-        }
-    });
-    address
-}
-
-fn forward(mut from: TcpStream, mut to: TcpStream, slow: &AtomicBool) {
-    let (sender, receiver) = mpsc::channel::<(Instant, Vec<u8>)>();
-    let writer = thread::spawn(move || {
-        while let Ok((due, bytes)) = receiver.recv() {
-            thread::sleep(due.saturating_duration_since(Instant::now()));
-            if to.write_all(&bytes).is_err() {
-                break;
-            }
-        }
-        // The other side may have ended already.
-        let _ = to.shutdown(std::net::Shutdown::Both);
-    });
-    let mut part = [0; 4_096];
-    while let Ok(count @ 1..) = from.read(&mut part) {
-        let delay = if slow.load(SeqCst) { DELAY } else { Duration::ZERO };
-        if sender.send((Instant::now() + delay, part[..count].to_vec())).is_err() {
-            break;
-        }
-    }
-    drop(sender);
-    let _ = writer.join();
-}
-
 /// Another daemon, played by the test.
 struct Peer {
     memory: MemoryBudget,
@@ -130,6 +87,10 @@
         Err("runs nothing".to_owned())
     }
 
+    async fn grant(&self, _: Bytes, _: usize) -> Result<BodyTurn, String> {
+        Err("runs nothing".to_owned())
+    }
+
     fn refuse(&self, _: Bytes) -> Result<Vec<u8>, String> {
         Err("runs nothing".to_owned())
     }
@@ -148,7 +109,7 @@
         let held = request.gossip.versions.config;
         let reply = SyncReply { gossip: self.gossip(request.fetch.then_some(held)) };
         let head = encode(&reply).into();
-        Ok(Frame { protocol: PROTOCOL, head, body: Bytes::new(), body_bytes: 0 })
+        Ok(Frame { protocol: PROTOCOL, head, ..Frame::default() })
     }
 
     fn revoke(&self, frame: Frame) -> Result<Frame, String> {
@@ -180,12 +141,15 @@
     /// Address of the daemon behind the slow link.
     to: SocketAddr,
     callers: SocketAddr,
-    _server: SiteServer,
+    /// Directions of the link of the daemon.
+    inbound: Queue,
+    outbound: Queue,
+    server: SiteServer,
     _store: SiteStore,
 }
 
 impl Pair {
-    /// Starts both on an idle link, which is slow when this returns.
+    /// Starts both on an idle link.
     async fn start(name: &str) -> Pair {
         let store = SiteStore::start().unwrap();
         store.put("op", "config", &configuration(1));
@@ -213,9 +177,9 @@
         await_that("version 1 is in force", WITHIN, || in_force(callers, 1));
         store.set_down(true);
 
-        let slow = Arc::<AtomicBool>::default();
+        let (inbound, outbound) = (Queue::default(), Queue::default());
         let listener = async_std::net::TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
-        let address = delayed(listener.local_addr().unwrap(), &slow);
+        let address = Proxy::start(listener.local_addr().unwrap(), &outbound, &inbound).address;
         let own = Member {
             vm: EndpointId::new("other-1").unwrap(),
             incarnation: 1,
@@ -238,20 +202,26 @@
         });
         peer.add(1);
         drop(serve_fleet(listener, Arc::clone(&peer)));
-        let to = delayed(peers, &slow);
+        let to = Proxy::start(peers, &inbound, &outbound).address;
         let pair = Pair {
             peer,
             peers: FleetPeers::new(memory()),
             to,
             callers,
-            _server: server,
+            inbound,
+            outbound,
+            server,
             _store: store,
         };
         pair.exchange(None).await.expect("an exchange on the idle link");
-        slow.store(true, SeqCst);
         pair
     }
 
+    fn slow_down(&self) {
+        self.inbound.delay(DELAY);
+        self.outbound.delay(DELAY);
+    }
+
     /// Sends the other daemon's state, and returns the daemon's.
     async fn exchange(&self, held: Option<u64>) -> Option<SyncReply> {
         let request = SyncRequest { gossip: self.peer.gossip(held), fetch: false };
@@ -283,6 +253,7 @@
 fn change_crosses_a_slow_link_three_times() {
     block_on(async {
         let pair = Pair::start("stock-1").await;
+        pair.slow_down();
         pair.peer.add(2);
         let announced = Instant::now();
         let announcing = pair.exchange(Some(1));
@@ -304,6 +275,7 @@
 fn late_answer_to_a_fetch_is_thrown_away() {
     block_on(async {
         let pair = Pair::start("stock-2").await;
+        pair.slow_down();
         pair.peer.add(2);
         let announcing = pair.exchange(None);
         let during = task::spawn_blocking({
@@ -317,3 +289,116 @@
         assert!((1..=8).contains(&fetches), "{fetches} fetches");
     });
 }
+
+/// Rate of the smallest links in bytes per second.
+const LINK_RATE: u64 = 1_250_000;
+/// Mean length of an upload in bytes.
+const UPLOAD: usize = 60_000;
+/// Uploads as a share of what the link carries.
+const OVERLOAD: f64 = 2.2;
+/// Time for which uploads come.
+const UPLOADS_FOR: Duration = Duration::from_secs(6);
+/// Time between two configurations.
+const STORM_PAUSE: Duration = Duration::from_millis(150);
+
+/// Sends an upload as another caller's daemon does. Returns the outcome, if the call was answered.
+async fn upload(
+    to: SocketAddr,
+    peers: Arc<FleetPeers>,
+    sent: Time,
+    number: u64,
+) -> Option<RunOutcome> {
+    let caller = ServiceName::new("shop").unwrap();
+    let id = format!("u{number}");
+    let request = RunRequest {
+        stamp: Some(SendStamp { id: SendId { daemon: 7, number }, sent }),
+        server: EndpointId::new("i-stock-3").unwrap(),
+        key: RequestKey::new(&caller, "POST", "shop.example", &id, std::iter::empty()),
+        caller,
+        route: Arc::from("r-v1-"),
+        organisation: None,
+        rank: Rank::new(None, 2),
+        ticket: Ticket(128),
+        named_call: false,
+        repeat: None,
+        idempotent: false,
+        returned: false,
+        goal: Duration::from_millis(1_200),
+        left: Duration::from_secs(4),
+        rate_limit: None,
+        may_wait: true,
+        method: "POST".to_owned(),
+        target: format!("/v1/{id}"),
+        headers: vec![("request-id".to_owned(), id.clone().into_bytes())],
+        delay: Duration::ZERO,
+        id,
+    };
+    let body = Body::from(Bytes::from(vec![b'u'; UPLOAD / 2 + (number as usize % 7) * UPLOAD / 6]));
+    let call = peers.open_call(to, Lane::Large).await;
+    let reply = async { call?.run(encode(&request), body).await }.await;
+    reply.ok().map(|(head, _)| decode::<RunReply>(&head).unwrap().outcome)
+}
+
+/// Guards against uploads of many daemons that fill the link of the one beside the server: during a
+/// series of changes its callers got 404 for routes that were in force elsewhere for seconds, and calls
+/// to it came after their deadlines. The link must not be idle either.
+#[test]
+fn uploads_of_many_daemons_hold_back_a_series_of_changes() {
+    block_on(async {
+        let pair = Pair::start("stock-3").await;
+        pair.server.set_slots(6);
+        pair.server.answer(Answering::After(Duration::from_millis(50)));
+        pair.inbound.limit(LINK_RATE);
+        pair.outbound.limit(LINK_RATE);
+        let began = Instant::now();
+        let clock = move || Time(1_000_000_000 + began.elapsed().as_micros() as u64);
+        let before = pair.inbound.forwarded();
+        let senders: Vec<_> = (0..12).map(|_| Arc::new(FleetPeers::new(memory()))).collect();
+        let to = pair.to;
+        let uploads = async {
+            let mut sent = Vec::new();
+            let pause = Duration::from_secs_f64(UPLOAD as f64 / (OVERLOAD * LINK_RATE as f64));
+            while began.elapsed() < UPLOADS_FOR {
+                let number = sent.len() as u64;
+                let peers = Arc::clone(&senders[number as usize % senders.len()]);
+                sent.push(task::spawn(upload(to, peers, clock(), number)));
+                task::sleep(pause).await;
+            }
+            let carried = pair.inbound.forwarded() - before;
+            let mut answered = 0;
+            for it in sent.drain(..) {
+                let outcome = it.await;
+                assert!(outcome.is_some(), "an upload has no answer");
+                answered += u32::from(matches!(outcome, Some(RunOutcome::Answered { .. })));
+            }
+            (carried, answered)
+        };
+        let callers = pair.callers;
+        let changes = async {
+            let mut slowest = Duration::ZERO;
+            let mut version = 1;
+            while began.elapsed() < UPLOADS_FOR {
+                pair.peer.add(version + 1);
+                let announced = Instant::now();
+                let exchange = pair.exchange(Some(version));
+                let shown = task::spawn_blocking(move || {
+                    let what = format!("version {} is in force", version + 1);
+                    await_that(&what, CONFIG_APPLY, || in_force(callers, version + 1));
+                    announced.elapsed()
+                });
+                let (reply, taken) = futures_lite::future::zip(exchange, shown).await;
+                assert!(reply.is_some());
+                slowest = slowest.max(taken);
+                version += 1;
+                task::sleep(STORM_PAUSE).await;
+            }
+            slowest
+        };
+        let ((carried, answered), slowest) = futures_lite::future::zip(uploads, changes).await;
+        let share = carried as f64 / (LINK_RATE as f64 * UPLOADS_FOR.as_secs_f64());
+        println!("slowest change {slowest:?}, {answered} uploads answered, link {share:.2} busy");
+        // One crossing of a link on which bodies take some tens of milliseconds.
+        assert!(slowest < CONFIG_APPLY / 4, "{slowest:?}");
+        assert!(share > 0.7, "the link is {share:.2} busy");
+    });
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,10 +1,11 @@
-//! Stand-ins for backend servers and the platform, for tests and measurements.
+//! Stand-ins for backend servers, the platform and links, for tests and measurements.
 //!
-//! Both run inside a process or as a process of their own (`examples/`). `docs/standins.md` lists
+//! The first two run inside a process or as a process of their own (`examples/`). `docs/standins.md` lists
 //! their options, paths and headers.
 
 pub mod backend;
 mod call;
+pub mod link;
 pub mod platform;
 pub mod site;
 
