tests: a daemon that is to stand still has stopped all its threads

It is not a fault of the daemon: of 25 runs beside load in which the states of the daemon's threads were read right after SIGSTOP, 5 were answered 200, in each of which no thread had stopped yet ("R", "S", "S", "S"); none of the 5 with all threads stopped was.

--- a/crates/shallottackd/tests/suite/fleet.rs
+++ b/crates/shallottackd/tests/suite/fleet.rs
@@ -216,6 +216,20 @@
         let pid = Pid::from_child(&self.child);
         kill_process(pid, signal).unwrap();
     }
+
+    /// Stops all threads of the daemon until it is told to continue. They run on for a while after the
+    /// signal, long enough for a request.
+    fn stand_still(&self) {
+        self.signal(Signal::STOP);
+        let stopped = |task: fs::DirEntry| {
+            let stat = fs::read_to_string(task.path().join("stat")).unwrap();
+            stat.rsplit_once(") ").is_some_and(|(_, state)| state.starts_with('T'))
+        };
+        eventually("all threads have stopped", || {
+            let mut tasks = fs::read_dir(format!("/proc/{}/task", self.child.id())).unwrap();
+            tasks.all(|it| stopped(it.unwrap()))
+        });
+    }
 }
 
 impl Drop for Vm {
--- a/crates/shallottackd/tests/suite/fleet/revocations.rs
+++ b/crates/shallottackd/tests/suite/fleet/revocations.rs
@@ -24,7 +24,7 @@
 fn request_runs_after_its_deadline() {
     let (_store, shop, stock) = fleet(&["stock-1"]);
     let order = |id: &str| request("POST", "/order/1", id).replace("4000", "800");
-    stock[0].signal(Signal::STOP);
+    stock[0].stand_still();
     let answer = exchange(shop.callers, &order("stopped"), 1).unwrap().remove(0);
     assert_eq!(answer.status, 504);
     stock[0].signal(Signal::CONT);
