rpc: a granted body ends with its call

The sender of a granted body waited for the grant for ever after the call had ended, and held the stream of the connection. It now ends, and a body that is being sent ends with its call at the next piece, so that the receiver drops the request as one with another length than stated.

The tests of the sidecar start their daemons in one place.

--- a/crates/rpc/src/fleet.rs
+++ b/crates/rpc/src/fleet.rs
@@ -24,7 +24,7 @@
 };
 use async_trait::async_trait;
 use bytes::Bytes;
-use futures_lite::{Stream, StreamExt, future, stream};
+use futures_lite::{Stream, StreamExt, stream};
 use hyper::{
     body::Incoming,
     client::conn::http2::{Builder as ClientBuilder, SendRequest},
@@ -420,8 +420,10 @@
     Frame { protocol: PROTOCOL, head: head.into(), ..Frame::default() }
 }
 
-/// Returns the head of a message, and the pieces of its body once it is granted. Without a grant, the
-/// body is not sent; the receiver ends the call.
+/// Returns the head of a message, and the pieces of its body once it is granted.
+///
+/// The body ends early when the sender of `granted` is dropped, since the call has ended. hyper sends it
+/// on otherwise after the first message of the reply, and the receiver would run the request.
 fn granted_frames(
     head: Vec<u8>,
     body: Body,
@@ -429,12 +431,13 @@
 ) -> impl Stream<Item = Frame> + Send {
     let first = Frame { body_bytes: body.len() as u64, ..frame(head) };
     let body = stream::once_future(async move {
-        match granted.recv().await {
-            Ok(()) => body,
-            Err(_) => future::pending().await,
-        }
+        let granted_now = granted.recv().await.is_ok();
+        (if granted_now { body } else { Body::default() }, granted)
+    });
+    let pieces = body.flat_map(|(mut body, granted)| {
+        let next = move || if granted.is_closed() { None } else { body.next_piece() };
+        stream::iter(iter::from_fn(next))
     });
-    let pieces = body.flat_map(|mut body| stream::iter(iter::from_fn(move || body.next_piece())));
     stream::once(first).chain(pieces.map(|it| Frame { body: it, ..frame(Vec::new()) }))
 }
 
--- a/crates/rpc/tests/suite/fleet.rs
+++ b/crates/rpc/tests/suite/fleet.rs
@@ -33,6 +33,8 @@
 struct Counting {
     memory: MemoryBudget,
     runs: AtomicUsize,
+    /// Number of runs that have ended.
+    ended: AtomicUsize,
     revocations: AtomicUsize,
     /// Whether no body is granted.
     holds: AtomicBool,
@@ -93,6 +95,7 @@
         }
         self.runs.fetch_add(1, SeqCst);
         task::sleep(RUN).await;
+        self.ended.fetch_add(1, SeqCst);
         Ok((head.to_vec(), Body::default()))
     }
 }
@@ -147,6 +150,7 @@
     let handler = Arc::new(Counting {
         memory: memory(),
         runs: AtomicUsize::new(0),
+        ended: AtomicUsize::new(0),
         revocations: AtomicUsize::new(0),
         holds: AtomicBool::new(false),
         granted: AtomicUsize::new(0),
@@ -389,3 +393,35 @@
         assert_eq!(handler.most_granted.load(SeqCst), TURNS);
     });
 }
+
+/// Guards against a request that is sent on and run after its caller has left, while its body crosses the
+/// link or while it runs.
+#[test]
+fn granted_request_runs_after_its_caller_has_left() {
+    block_on(async {
+        let (handler, proxy, peers) = start().await;
+        // The body takes 0.9 s.
+        proxy.to.limit(400_000);
+        let leave_after = async |leave: Duration| {
+            let left = async {
+                task::sleep(leave).await;
+                Err(PeerError::Cut("left".to_owned()))
+            };
+            let call = run(&peers, &proxy, Lane::Large, LARGE);
+            futures_lite::future::or(call, left).await.unwrap_err();
+        };
+        leave_after(Duration::from_millis(300)).await;
+        assert_eq!(handler.granted.load(SeqCst), 1);
+        let before = proxy.to.forwarded();
+        task::sleep(Duration::from_millis(1_200)).await;
+        let after = proxy.to.forwarded() - before;
+        // What was read from the body before the caller left.
+        assert!(after < 100_000, "{after} bytes of {LARGE} were sent on");
+        assert_eq!((handler.granted.load(SeqCst), handler.runs.load(SeqCst)), (0, 0));
+
+        proxy.to.limit(0);
+        leave_after(RUN / 2).await;
+        task::sleep(RUN * 2).await;
+        assert_eq!((handler.runs.load(SeqCst), handler.ended.load(SeqCst)), (1, 0));
+    });
+}
--- a/crates/sidecar/tests/suite/main.rs
+++ b/crates/sidecar/tests/suite/main.rs
@@ -2,6 +2,7 @@
 //! that other daemons revoke, and of slow links.
 
 mod config_history;
+mod daemon;
 mod events;
 mod revoke;
 mod settings;
--- a/crates/sidecar/tests/suite/revoke.rs
+++ b/crates/sidecar/tests/suite/revoke.rs
@@ -1,10 +1,8 @@
 //! Requests that another daemon revokes, against a daemon beside a backend server.
 
 use std::{
-    fs,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     sync::Arc,
-    thread,
     time::{Duration, Instant},
 };
 
@@ -18,10 +16,10 @@
 };
 use shallottack_standins::site::{Answering, SiteServer, SiteStore};
 
+use crate::daemon::{self, WITHIN};
+
 /// Run time at the backend server.
 const RUN: Duration = Duration::from_millis(600);
-/// Time in which the daemon has to serve requests.
-const WITHIN: Duration = Duration::from_secs(8);
 
 /// Another daemon, in the place of which the test sends.
 struct Sender {
@@ -77,38 +75,6 @@
     }
 }
 
-fn addresses() -> [SocketAddr; 5] {
-    // Held together, so that the five ports differ.
-    let held = [(); 5].map(|()| TcpListener::bind(("127.0.0.1", 0)).unwrap());
-    held.map(|it| it.local_addr().unwrap())
-}
-
-/// Starts a daemon in this process, and returns the address for other daemons.
-fn start(store: &SiteStore, server: &SiteServer) -> SocketAddr {
-    let [callers, peers, ready, heartbeats, metrics] = addresses();
-    let file = format!("shallottack-revoke-{}.yaml", std::process::id());
-    let settings = std::env::temp_dir().join(file);
-    let text = format!(
-        "vm: stock-1\ndata_centre: a\nservice: stock\nbackend: \"{}\"\nlisten:\n  \
-         callers: \"{callers}\"\n  peers: \"{peers}\"\n  ready: \"{ready}\"\n  \
-         heartbeats: \"{heartbeats}\"\n  metrics: \"{metrics}\"\nstore: \"{}\"\n\
-         heartbeat: 1500ms\nlink_mbps: 1000\nstop:\n  grace: 6s\nretries:\n  ratio: 0.2\n  \
-         extra: 60\n  window: 10s\n",
-        server.address(),
-        store.address(),
-    );
-    fs::write(&settings, text).unwrap();
-    let path = settings.clone();
-    thread::spawn(move || block_on(shallottack_sidecar::run(&path)).unwrap());
-    let end = Instant::now() + WITHIN;
-    while !server.heartbeat(heartbeats, "ready").is_ok_and(|it| it == 200) {
-        assert!(Instant::now() < end, "the daemon takes no heartbeats");
-        thread::sleep(Duration::from_millis(20));
-    }
-    fs::remove_file(settings).unwrap();
-    peers
-}
-
 fn is_expired(outcome: &RunOutcome) -> bool {
     matches!(outcome, RunOutcome::Refused { kind: ErrorKind::DeadlineUnmet, .. })
 }
@@ -121,7 +87,7 @@
     let store = SiteStore::start().unwrap();
     let server = SiteServer::start("i-stock-1", "stock").unwrap();
     server.set_slots(1);
-    let to = start(&store, &server);
+    let to = daemon::start("stock-1", &store, &server).peers;
     let capacity = 8_000_000;
     let budget = BudgetSettings { capacity, short_share: 1_000_000, responses: capacity };
     let peers = FleetPeers::new(MemoryBudget::new(budget));
--- a/crates/sidecar/tests/suite/slow_link.rs
+++ b/crates/sidecar/tests/suite/slow_link.rs
@@ -4,8 +4,7 @@
 //! each other is on the way for longer than an exchange or a connection usually takes.
 
 use std::{
-    fs,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     sync::{
         Arc, Mutex,
         atomic::{AtomicUsize, Ordering::SeqCst},
@@ -35,8 +34,8 @@
 };
 use smallvec::SmallVec;
 
-/// Time in which the daemon starts and knows the other one.
-const WITHIN: Duration = Duration::from_secs(8);
+use crate::daemon::{self, Ports, WITHIN, await_that};
+
 /// Time on the way in each direction, longer than a fetch was awaited before.
 const DELAY: Duration = Duration::from_millis(1_600);
 /// Shortest time within which a configuration has to be in force, as stated by the sites.
@@ -154,26 +153,7 @@
         let store = SiteStore::start().unwrap();
         store.put("op", "config", &configuration(1));
         let server = SiteServer::start(&format!("i-{name}"), "stock").unwrap();
-        let held = [(); 5].map(|()| TcpListener::bind(("127.0.0.1", 0)).unwrap());
-        let [callers, peers, ready, heartbeats, metrics] = held.map(|it| it.local_addr().unwrap());
-        let file = format!("shallottack-slow-link-{name}-{}.yaml", std::process::id());
-        let settings = std::env::temp_dir().join(file);
-        let text = format!(
-            "vm: {name}\ndata_centre: a\nservice: stock\nbackend: \"{}\"\nlisten:\n  \
-             callers: \"{callers}\"\n  peers: \"{peers}\"\n  ready: \"{ready}\"\n  \
-             heartbeats: \"{heartbeats}\"\n  metrics: \"{metrics}\"\nstore: \"{}\"\n\
-             heartbeat: 1500ms\nlink_mbps: 10\nstop:\n  grace: 6s\nretries:\n  ratio: 0.2\n  \
-             extra: 60\n  window: 10s\n",
-            server.address(),
-            store.address(),
-        );
-        fs::write(&settings, text).unwrap();
-        let path = settings.clone();
-        thread::spawn(move || block_on(shallottack_sidecar::run(&path)).unwrap());
-        await_that("the daemon takes heartbeats", WITHIN, || {
-            server.heartbeat(heartbeats, "ready").is_ok_and(|it| it == 200)
-        });
-        fs::remove_file(settings).unwrap();
+        let Ports { callers, peers } = daemon::start(name, &store, &server);
         await_that("version 1 is in force", WITHIN, || in_force(callers, 1));
         store.set_down(true);
 
@@ -244,14 +224,6 @@
     exchange(callers, &request, 1).ok().map(|it| it[0].status)
 }
 
-fn await_that(what: &str, within: Duration, condition: impl Fn() -> bool) {
-    let end = Instant::now() + within;
-    while !condition() {
-        assert!(Instant::now() < end, "not within {within:?}: {what}");
-        thread::sleep(Duration::from_millis(20));
-    }
-}
-
 /// Guards against a version that takes three crossings of a full link, the last of which takes longer
 /// than its answer is awaited: callers got 404 for routes that were in force elsewhere.
 #[test]
