fleet: a daemon that has answered is not asked for ever

A version that a daemon states, but that nobody can send (its rows were read and ignored, or it has ended), kept a daemon asking twice a second without end: the rows counted as missing, and the daemon that had stated them as a source.

Test, which the interface before did not allow to pass: fetch::daemon_that_has_answered_is_asked_again_and_again.

--- a/crates/fleet/src/fetch.rs
+++ b/crates/fleet/src/fetch.rs
@@ -128,13 +128,17 @@
         FetchStep::Fetch(source.vm.clone())
     }
 
-    /// Records that the fetch from the daemon of a VM has ended, whether it was answered or not.
-    pub fn end(&mut self, vm: &EndpointId) {
+    /// Records that the fetch from the daemon of a VM has ended. One that was answered is not repeated
+    /// until the daemon states newer rows again.
+    pub fn end(&mut self, vm: &EndpointId, answered: bool) {
         self.pending.retain(|it| it != vm);
+        if answered {
+            self.sources.retain(|it| it.vm != *vm);
+        }
     }
 }
 
-/// Returns how long to wait before a daemon is asked again, which has failed to answer or had nothing.
+/// Returns how long to wait before a daemon is asked again that has failed to answer.
 fn retry_wait(now: Time, asked: Option<Time>, pause: Duration) -> Duration {
     asked.map_or(Duration::ZERO, |it| (it + pause).since(now))
 }
--- a/crates/fleet/tests/suite/fetch.rs
+++ b/crates/fleet/tests/suite/fetch.rs
@@ -26,9 +26,9 @@
     assert!(!fetches.record_source(at(0), &id("vm-2"), true), "the steps are taken already");
     assert_eq!(step(&mut fetches, at(0)), fetch("vm-1"));
     assert_eq!(step(&mut fetches, at(100)), FetchStep::Wait(ms(400)));
-    fetches.end(&id("vm-1"));
+    fetches.end(&id("vm-1"), true);
     assert_eq!(step(&mut fetches, at(150)), fetch("vm-2"));
-    fetches.end(&id("vm-2"));
+    fetches.end(&id("vm-2"), true);
     assert_eq!(fetches.step(at(200), false, |_| true), FetchStep::Done);
     assert!(fetches.record_source(at(300), &id("vm-1"), true));
 }
@@ -77,11 +77,24 @@
     let mut fetches = FetchTracker::default();
     fetches.record_source(at(0), &id("vm-1"), true);
     assert_eq!(step(&mut fetches, at(0)), fetch("vm-1"));
-    fetches.end(&id("vm-1"));
+    fetches.end(&id("vm-1"), false);
     assert_eq!(step(&mut fetches, at(100)), FetchStep::Wait(ms(400)));
     assert_eq!(step(&mut fetches, at(500)), fetch("vm-1"));
 }
 
+/// Guards against a daemon that is asked for ever for rows that it does not have: it stated a version that
+/// nobody can send.
+#[test]
+fn daemon_that_has_answered_is_asked_again_and_again() {
+    let mut fetches = FetchTracker::default();
+    fetches.record_source(at(0), &id("vm-1"), true);
+    assert_eq!(step(&mut fetches, at(0)), fetch("vm-1"));
+    fetches.end(&id("vm-1"), true);
+    assert_eq!(step(&mut fetches, at(600)), FetchStep::Done);
+    assert!(fetches.record_source(at(700), &id("vm-1"), true), "it states newer rows again");
+    assert_eq!(step(&mut fetches, at(700)), fetch("vm-1"));
+}
+
 proptest! {
     /// Guards against a daemon that is behind and asks nobody for long, or asks too often, whatever
     /// it is answered and when.
@@ -100,7 +113,7 @@
         while now < 20_000 {
             ends.retain(|(end, vm)| {
                 if *end <= now {
-                    fetches.end(vm);
+                    fetches.end(vm, false);
                 }
                 *end > now
             });
--- a/crates/sidecar/src/sync.rs
+++ b/crates/sidecar/src/sync.rs
@@ -187,8 +187,8 @@
                 FetchStep::Fetch(vm) => {
                     let node = Arc::clone(&self);
                     task::spawn(async move {
-                        node.fetch(&vm).await;
-                        node.shared().fetches.end(&vm);
+                        let answered = node.fetch(&vm).await;
+                        node.shared().fetches.end(&vm, answered);
                     });
                 }
                 FetchStep::Wait(wait) => task::sleep(wait.min(FETCH_CHECK_INTERVAL)).await,
@@ -197,9 +197,10 @@
         }
     }
 
-    /// Fetches the operator rows from the daemon of a VM and applies them, also late ones.
-    async fn fetch(self: &Arc<Self>, vm: &EndpointId) {
-        let Some(member) = self.shared().directory.get(vm).cloned() else { return };
+    /// Fetches the operator rows from the daemon of a VM and applies them, also late ones. Returns whether
+    /// it answered, or no longer exists.
+    async fn fetch(self: &Arc<Self>, vm: &EndpointId) -> bool {
+        let Some(member) = self.shared().directory.get(vm).cloned() else { return true };
         let began = self.now();
         let request = SyncRequest { gossip: self.gossip_for(&member, false), fetch: true };
         let reply = self.exchange(&member, request).await;
@@ -220,9 +221,9 @@
             bytes: config.map_or(0, |it| it.bytes.len()),
             ms: self.now().since(began).as_millis() as u64,
         });
-        if let Some((reply, answer)) = reply {
-            self.apply_reply(&reply.gossip, answer, Way::Fetched);
-        }
+        let Some((reply, answer)) = reply else { return false };
+        self.apply_reply(&reply.gossip, answer, Way::Fetched);
+        true
     }
 
     /// Applies operator rows that the daemon of a VM sent, which holds `theirs`.
@@ -240,7 +241,7 @@
                 self.apply_order(row);
             }
         }
-        if !rows.orders.is_empty() {
+        if way == Way::Fetched || !rows.orders.is_empty() {
             // Also covers orders that the other daemon has read and ignored.
             let mut shared = self.shared();
             shared.newest_order = shared.newest_order.max(theirs.orders);
